--- /dev/null
+++ b/include/cornelwind/detector.h
@@ -0,0 +1,196 @@
+#pragma once
+
+#include "cornelwind/sequential_test.h"
+#include "cornelwind/sheet.h"
+#include "cornelwind/types.h"
+
+#include <array>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <span>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace cornelwind {
+
+/// Time between two evaluations, and between two digests to the peers.
+inline constexpr Millis EVIDENCE_INTERVAL { 250 };
+
+/// Outcomes of one backend server within one interval.
+struct Tally {
+    std::uint32_t samples = 0;
+    std::uint32_t failures = 0;
+    std::uint32_t slow = 0;
+
+    Tally& operator+=(const Tally& other);
+    bool empty() const { return !samples; }
+};
+
+struct DigestRow {
+    ServerId server;
+    Tally tally;
+};
+
+/// The outcomes that one entry instance saw since its previous digest.
+struct Digest {
+    std::uint64_t sequence = 0;
+    std::vector<DigestRow> rows;
+};
+
+/// What the evidence says of one backend server.
+struct Judgement {
+    /// Of the fleet's evidence, in nats.
+    double score = 0;
+    /// Of this entry instance's evidence alone.
+    double ownScore = 0;
+    /// Share of the accusing evidence that comes from the loudest entry instance.
+    double loudestShare = 0;
+    /// Number of entry instances with recent traffic to the server.
+    std::uint32_t sources = 0;
+    /// Whether the loudest entry instance is this one.
+    bool loudestIsSelf = false;
+    double badShare = 0;
+    double expectedShare = 0;
+    std::uint64_t recentSamples = 0;
+};
+
+/// @return the score from which a backend server counts as sick, in nats
+double ejectionThreshold(Weighting);
+
+/// Judges backend servers by the outcomes of requests.
+///
+/// An outcome is bad if it is an error, or slow: later than `SLOW_FACTOR` times
+/// the median of the service, counted as soon as that time has passed. What is
+/// expected of a healthy server is the bad share of the other servers of its
+/// service at the same time, so that trouble common to all accuses none.
+///
+/// Memory: for each server a fixed part and one entry for each entry instance
+/// that sent it traffic lately; one entry for each send in progress.
+class Detector {
+public:
+    static constexpr double SLOW_FACTOR = 4;
+
+    Detector();
+
+    /// Sets the servers of each service. Evidence of servers that stay is kept.
+    void adopt(const Sheet& sheet);
+
+    void trySent(TryId id, ServerId server, Time now);
+    /// @param failed nothing if the end of the send says nothing about the server
+    void tryEnded(TryId id, std::optional<bool> failed, Time now);
+
+    /// Adds the outcome of a probe of the health endpoint.
+    void probed(ServerId server, bool failed);
+
+    /// Slowness of a server says nothing until then.
+    void ignoreSlownessUntil(ServerId server, Time until);
+
+    /// Forgets what a server is accused of.
+    void forgive(ServerId server);
+
+    /// Adds the digest of another entry instance. Old and repeated ones change nothing.
+    ///
+    /// @param source id of the entry instance, not zero
+    /// @param incarnation its start; the sequence begins anew with each
+    /// @return whether the digest was new
+    bool merge(std::uint64_t source, std::uint64_t incarnation, const Digest& digest, Time now);
+
+    /// Evaluates what arrived since the last call. Call it every `EVIDENCE_INTERVAL`.
+    ///
+    /// @return the outcomes seen here, for the peers; valid until the next call
+    const Digest& evaluate(Time now);
+
+    Judgement judge(ServerId server) const;
+
+    /// @return whether this entry instance sees trouble on most paths that others see as well
+    bool distrustsSelf() const { return m_distrustsSelf; }
+
+    /// @return median time of an answer of a service
+    Duration median(std::uint32_t service) const;
+
+private:
+    static constexpr std::uint64_t SELF = 0;
+
+    struct Source {
+        /// Bad outcomes beyond expectation, decaying.
+        double excess = 0;
+        double samples = 0;
+    };
+
+    struct Pending {
+        ServerId server;
+        Time sentAt;
+        bool counted = false;
+    };
+
+    struct Window {
+        double samples = 0;
+        double failures = 0;
+        double slow = 0;
+    };
+
+    struct Track {
+        std::uint32_t service = 0;
+        Time slownessFrom;
+        Tally own;
+        Tally held;
+        std::uint32_t heldRounds = 0;
+        std::unordered_map<std::uint64_t, Tally> arrived;
+        std::unordered_map<std::uint64_t, Source> sources;
+        Window window;
+        SequentialTest failureTest;
+        SequentialTest slowTest;
+        SequentialTest ownFailureTest;
+        SequentialTest ownSlowTest;
+        double expectedFailures = 0;
+        double expectedSlow = 0;
+    };
+
+    /// Histogram of answer times with decaying counts.
+    class Latencies {
+    public:
+        void add(Duration latency);
+        void decay();
+        Duration median() const;
+
+    private:
+        static constexpr std::size_t BUCKETS = 128;
+        static std::size_t bucketOf(Duration latency);
+        std::array<double, BUCKETS> m_counts {};
+        double m_total = 0;
+    };
+
+    struct ServiceTrack {
+        std::vector<ServerId> servers;
+        Latencies latencies;
+        Duration median {};
+        Weighting weighting = Weighting::Balanced;
+    };
+
+    struct LastDigest {
+        std::uint64_t incarnation = 0;
+        std::uint64_t sequence = 0;
+        Time at;
+    };
+
+    Track* find(ServerId server);
+    void count(Track& track, bool failed, bool slow);
+    void countStalls(Time now);
+    Duration slowLimit(const Track& track) const;
+    void evaluateService(ServiceTrack& service);
+    void evaluateServer(Track& track, const Tally& arrived, double expectedFailures, double expectedSlow, double mostGain);
+    void updateSources(Track& track);
+    void judgeSelf();
+    void fillDigest();
+
+    std::unordered_map<ServerId, Track> m_tracks;
+    std::vector<ServiceTrack> m_services;
+    std::unordered_map<TryId, Pending> m_pending;
+    std::unordered_map<std::uint64_t, LastDigest> m_lastDigests;
+    Digest m_digest;
+    bool m_distrustsSelf = false;
+};
+
+} // namespace cornelwind
--- /dev/null
+++ b/include/cornelwind/selector.h
@@ -0,0 +1,53 @@
+#pragma once
+
+#include "cornelwind/types.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <span>
+#include <vector>
+
+namespace cornelwind {
+
+/// A backend server that may take one more request.
+struct Candidate {
+    ServerId server;
+    /// Requests of this entry instance that it runs now.
+    std::uint32_t inFlight = 0;
+    /// Slots reserved for this entry instance by `SlotShares`.
+    std::uint32_t ownSlots = 0;
+    std::uint32_t slots = 1;
+};
+
+/// Chooses among the candidates. Cost: linear in their number; no allocation.
+class Selector {
+public:
+    virtual ~Selector() = default;
+
+    /// @param random uniformly distributed bits
+    /// @return position of the chosen candidate, or nothing if there are none
+    virtual std::optional<std::size_t> select(std::span<const Candidate> candidates, std::uint64_t random) = 0;
+};
+
+/// Uniformly random.
+std::unique_ptr<Selector> makeRandomSelector();
+/// Each candidate in turn.
+std::unique_ptr<Selector> makeRoundRobinSelector();
+/// Reserved slots first, then the less loaded of two random candidates.
+std::unique_ptr<Selector> makeSlotShareSelector();
+
+/// Divides the slots of a service evenly over the live entry instances.
+///
+/// All slots stand in an order that depends only on the backend servers; the
+/// entry instance with rank `r` of `n` prefers every `n`-th slot from `r` on.
+/// Instances that agree on `n` prefer disjoint slots. Preferences bind nobody,
+/// so a disagreement costs collisions, never capacity.
+///
+/// @param candidates all backend servers of a service; receives `ownSlots`
+/// @param rank position among the live entry instances, sorted by name
+/// @param instances number of live entry instances, at least 1
+void shareSlots(std::span<Candidate> candidates, std::uint32_t rank, std::uint32_t instances);
+
+} // namespace cornelwind
--- /dev/null
+++ b/include/cornelwind/server_pool.h
@@ -0,0 +1,107 @@
+#pragma once
+
+#include "cornelwind/selector.h"
+#include "cornelwind/sheet.h"
+#include "cornelwind/types.h"
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <span>
+#include <unordered_map>
+#include <vector>
+
+namespace cornelwind {
+
+/// Whether a backend server takes work of the whole fleet.
+enum class Standing : std::uint8_t {
+    Serving,
+    /// Takes no new work until its hold ends.
+    Ejected,
+    /// Back after a hold: one request at a time.
+    Trial,
+    /// Shutting down: takes no new work.
+    Leaving,
+    /// No longer in the sheet: removed once its requests have ended.
+    Removed,
+};
+
+/// @return the name shown to operators
+const char* toString(Standing);
+
+/// A backend server as this entry instance sees it.
+struct Server {
+    ServerId id;
+    SheetServer config;
+    ServiceName service;
+    Standing standing = Standing::Serving;
+    /// This entry instance alone sends it nothing.
+    bool avoided = false;
+    std::uint32_t inFlight = 0;
+    std::uint32_t ownSlots = 0;
+    /// End of the current hold, ramp or leave, by standing.
+    Time standingUntil;
+    /// Until then slowness is not evidence and concurrency grows.
+    Time rampStart;
+    Time rampEnd;
+    /// It shed a request; not tried again before.
+    Time busyUntil;
+    std::uint32_t relapses = 0;
+};
+
+/// What a choice of a backend server depends on.
+struct PickContext {
+    Time now;
+    std::uint64_t random = 0;
+    /// Backend servers that this request already tried.
+    std::span<const ServerId> excluded;
+    /// Whether the request may run on a server in trial.
+    bool trialAllowed = false;
+};
+
+/// The backend servers of the sheet in force, by service.
+///
+/// Memory: one entry for each server of the sheet and for each removed server with requests in flight.
+class ServerPool {
+public:
+    explicit ServerPool(std::unique_ptr<Selector> selector);
+
+    /// Adopts the servers of a sheet. Servers kept by name keep their state; others drain.
+    void adopt(const Sheet& sheet, Time now);
+
+    /// Sets the shares of slots and connections. See `shareSlots`.
+    void setInstances(std::uint32_t rank, std::uint32_t instances);
+
+    /// Chooses a server that has room. No allocation.
+    ///
+    /// @param service index into the sheet in force
+    Server* pick(std::uint32_t service, const PickContext& context);
+
+    /// @return whether any server of the service takes work at all, busy or not
+    bool hasUsable(std::uint32_t service) const;
+
+    Server* find(ServerId id);
+    const Server* find(ServerId id) const;
+
+    /// Counts a request sent to, or ended at, a server.
+    void begin(Server& server);
+    void end(ServerId id);
+
+    std::span<Server* const> servers(std::uint32_t service) const;
+    std::size_t serviceCount() const { return m_services.size(); }
+    std::size_t size() const { return m_servers.size(); }
+
+private:
+    bool accepts(const Server& server, const PickContext& context) const;
+    std::uint32_t limit(const Server& server, Time now) const;
+    void reshare();
+
+    std::unordered_map<ServerId, Server> m_servers;
+    std::vector<std::vector<Server*>> m_services;
+    std::vector<Candidate> m_candidates;
+    std::unique_ptr<Selector> m_selector;
+    std::uint32_t m_rank = 0;
+    std::uint32_t m_instances = 1;
+};
+
+} // namespace cornelwind
--- /dev/null
+++ b/include/cornelwind/sheet.h
@@ -0,0 +1,115 @@
+#pragma once
+
+#include "cornelwind/error.h"
+#include "cornelwind/types.h"
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace cornelwind {
+
+/// Whether a request may be sent more than once.
+enum class RequestKind : std::uint8_t {
+    Idempotent,
+    AtMostOnce,
+};
+
+/// Where the key of an at-most-once request comes from.
+enum class KeyMode : std::uint8_t {
+    /// Minted by the entry instance that will own the request.
+    Owner,
+    /// None: callers never resend, and the receiving entry instance runs the request.
+    None,
+};
+
+/// Which connections carry a request to a backend server.
+enum class ConnectionUse : std::uint8_t {
+    Reuse,
+    Fresh,
+};
+
+/// What a service weighs more when its backend servers are judged.
+enum class Weighting : std::uint8_t {
+    DetectionTime,
+    Balanced,
+    FalseEjections,
+};
+
+/// A backend server as the sheet lists it.
+struct SheetServer {
+    ServerName name;
+    Endpoint address;
+    ZoneName zone;
+    Slots slots { 1 };
+    /// Connections that the whole fleet may hold to it.
+    std::uint32_t connections = 330;
+};
+
+/// A service as the sheet lists it.
+struct SheetService {
+    ServiceName name;
+    std::vector<SheetServer> servers;
+    /// Slots that ejection must leave in use.
+    Slots floor { 0 };
+    Weighting weighting = Weighting::Balanced;
+    /// Status and header that mark an answer as shed, hence not run.
+    std::uint16_t shedStatus = 503;
+    std::string shedHeader = "X-Shed";
+    /// Header by which a backend server says that it is leaving.
+    std::string drainHeader = "X-Draining";
+    std::string healthPath;
+    /// Retries allowed, in percent of requests.
+    std::uint32_t retryPercent = 10;
+    /// Requests that may wait for a slot at one entry instance.
+    std::uint32_t queueLimit = 64;
+    Millis queueTime { 500 };
+    /// Time after a start during which slowness is not evidence.
+    Millis coldStart { 5000 };
+};
+
+/// How requests of one method and path prefix are handled.
+struct SheetRule {
+    std::string method;
+    /// Matches whole path segments; the longest matching prefix wins.
+    std::string path;
+    std::uint32_t service = 0;
+    RequestKind kind = RequestKind::AtMostOnce;
+    KeyMode key = KeyMode::Owner;
+    ConnectionUse connection = ConnectionUse::Fresh;
+    /// 0 is served first.
+    std::uint32_t priority = 1;
+    Millis timeLimit { 5000 };
+    std::uint32_t tries = 1;
+    ByteCount maxBody { 64 * 1024 };
+    ByteCount maxAnswer { 1024 * 1024 };
+    /// An idempotent request is sent to a second backend server after this time.
+    std::optional<Millis> hedgeAfter;
+};
+
+/// The configuration that planners export, checked and immutable.
+struct Sheet {
+    SheetVersion version;
+    SheetHash hash;
+    std::vector<SheetService> services;
+    std::vector<SheetRule> rules;
+    /// The text it was read from, as relayed between entry instances.
+    std::string text;
+};
+
+using SheetPtr = std::shared_ptr<const Sheet>;
+
+/// Largest text of a sheet, in bytes.
+inline constexpr std::size_t MAX_SHEET_BYTES = 1024 * 1024;
+
+/// Checks a sheet and reads it.
+///
+/// @param text TOML text as docs/OPERATIONS.md describes it
+/// @param reasons receives every fault found
+/// @return the sheet, or nothing if there is at least one fault
+std::optional<Sheet> readSheet(std::string_view text, Reasons& reasons);
+
+} // namespace cornelwind
--- /dev/null
+++ b/src/config/sheet.cpp
@@ -0,0 +1,182 @@
+#include "cornelwind/sheet.h"
+
+#include "table_reader.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <numeric>
+#include <set>
+#include <unordered_map>
+#include <unordered_set>
+
+namespace cornelwind {
+namespace {
+
+    constexpr std::uint64_t MAX_VERSION = std::numeric_limits<std::int64_t>::max();
+    constexpr std::uint64_t MAX_SLOTS = 1000000;
+    constexpr std::uint64_t MAX_CONNECTIONS = 100000;
+    constexpr std::uint64_t MAX_MILLIS = 3600 * 1000;
+    constexpr std::uint64_t MAX_TRIES = 5;
+    constexpr std::uint64_t MAX_MESSAGE_BYTES = 16ULL * 1024 * 1024;
+
+    constexpr Choice<Weighting> weightings[] = {
+        { "detection-time", Weighting::DetectionTime },
+        { "balanced", Weighting::Balanced },
+        { "false-ejections", Weighting::FalseEjections },
+    };
+    constexpr Choice<RequestKind> kinds[] = {
+        { "idempotent", RequestKind::Idempotent },
+        { "at-most-once", RequestKind::AtMostOnce },
+    };
+    constexpr Choice<KeyMode> keyModes[] = { { "owner", KeyMode::Owner }, { "none", KeyMode::None } };
+    constexpr Choice<ConnectionUse> connectionUses[] = {
+        { "reuse", ConnectionUse::Reuse },
+        { "fresh", ConnectionUse::Fresh },
+    };
+
+    class SheetReader {
+    public:
+        explicit SheetReader(Reasons& reasons)
+            : m_reasons(reasons)
+        {
+        }
+
+        void read(const toml::table& root)
+        {
+            TableReader reader(root, m_reasons);
+            reader.strong("version", m_sheet.version, 1, MAX_VERSION, true);
+            reader.tables("service", [this](const toml::table& row) { readService(row); });
+            reader.tables("rule", [this](const toml::table& row) { readRule(row); });
+            reader.rejectUnknownKeys();
+        }
+
+        Sheet take() { return std::move(m_sheet); }
+
+    private:
+        void readService(const toml::table& row)
+        {
+            TableReader reader(row, m_reasons);
+            SheetService service;
+            reader.name("name", service.name);
+            reader.strong("floor_slots", service.floor, 0, MAX_SLOTS);
+            reader.choice("weighting", weightings, service.weighting);
+            reader.number("shed_status", service.shedStatus, 400, 599);
+            reader.text("shed_header", service.shedHeader);
+            reader.text("drain_header", service.drainHeader);
+            reader.text("health_path", service.healthPath);
+            reader.number("retry_percent", service.retryPercent, 0, 100);
+            reader.number("queue_limit", service.queueLimit, 0, 100000);
+            reader.millis("queue_ms", service.queueTime, 0, MAX_MILLIS);
+            reader.millis("cold_start_ms", service.coldStart, 0, MAX_MILLIS);
+            reader.tables("server", [&](const toml::table& server) { readServer(server, service); });
+            reader.rejectUnknownKeys();
+            checkFloor(reader, service);
+            if (!m_serviceIndex.emplace(service.name, m_sheet.services.size()).second)
+                reader.fault(ErrorKind::DuplicateName, "name", service.name.value());
+            m_sheet.services.push_back(std::move(service));
+        }
+
+        static void checkFloor(TableReader& reader, const SheetService& service)
+        {
+            const auto add = [](std::uint64_t sum, const SheetServer& server) { return sum + server.slots.value(); };
+            const std::uint64_t total = std::accumulate(service.servers.begin(), service.servers.end(), std::uint64_t { 0 }, add);
+            if (service.floor.value() > total)
+                reader.fault(ErrorKind::OutOfRange, "floor_slots", "more than the slots of its servers");
+        }
+
+        void readServer(const toml::table& row, SheetService& service)
+        {
+            TableReader reader(row, m_reasons);
+            SheetServer server;
+            reader.name("name", server.name);
+            reader.endpoint("address", server.address, true);
+            reader.name("zone", server.zone);
+            reader.strong("slots", server.slots, 1, MAX_SLOTS, true);
+            reader.number("connections", server.connections, 1, MAX_CONNECTIONS);
+            reader.rejectUnknownKeys();
+            if (!m_serverNames.insert(server.name).second)
+                reader.fault(ErrorKind::DuplicateName, "name", server.name.value());
+            service.servers.push_back(std::move(server));
+        }
+
+        void readRule(const toml::table& row)
+        {
+            TableReader reader(row, m_reasons);
+            SheetRule rule;
+            reader.text("method", rule.method, true);
+            reader.text("path", rule.path, true);
+            if (!rule.path.empty() && rule.path.front() != '/')
+                reader.fault(ErrorKind::OutOfRange, "path", rule.path);
+            readServiceOfRule(reader, rule);
+            reader.choice("kind", kinds, rule.kind, true);
+            if (rule.kind == RequestKind::Idempotent) {
+                rule.connection = ConnectionUse::Reuse;
+                rule.tries = 2;
+            }
+            reader.choice("key", keyModes, rule.key);
+            reader.choice("connection", connectionUses, rule.connection);
+            reader.number("priority", rule.priority, 0, 9);
+            reader.millis("time_limit_ms", rule.timeLimit, 1, MAX_MILLIS);
+            reader.number("tries", rule.tries, 1, MAX_TRIES);
+            reader.strong("max_body_bytes", rule.maxBody, 0, MAX_MESSAGE_BYTES);
+            reader.strong("max_answer_bytes", rule.maxAnswer, 0, MAX_MESSAGE_BYTES);
+            reader.millis("hedge_after_ms", rule.hedgeAfter, 1, MAX_MILLIS);
+            reader.rejectUnknownKeys();
+            checkAtMostOnce(reader, rule);
+            if (!m_rulePaths.insert(rule.method + " " + rule.path).second)
+                reader.fault(ErrorKind::DuplicateName, "path", rule.method + " " + rule.path);
+            m_sheet.rules.push_back(std::move(rule));
+        }
+
+        void readServiceOfRule(TableReader& reader, SheetRule& rule)
+        {
+            ServiceName service;
+            reader.name("service", service);
+            const auto found = m_serviceIndex.find(service);
+            if (found != m_serviceIndex.end())
+                rule.service = static_cast<std::uint32_t>(found->second);
+            else if (!service.value().empty())
+                reader.fault(ErrorKind::UnknownService, "service", service.value());
+        }
+
+        static void checkAtMostOnce(TableReader& reader, const SheetRule& rule)
+        {
+            if (rule.kind != RequestKind::AtMostOnce)
+                return;
+            if (rule.tries != 1)
+                reader.fault(ErrorKind::OutOfRange, "tries", "an at-most-once request has 1 try");
+            if (rule.hedgeAfter)
+                reader.fault(ErrorKind::OutOfRange, "hedge_after_ms", "an at-most-once request is not hedged");
+        }
+
+        Sheet m_sheet;
+        Reasons& m_reasons;
+        std::unordered_map<ServiceName, std::size_t> m_serviceIndex;
+        std::unordered_set<ServerName> m_serverNames;
+        std::set<std::string> m_rulePaths;
+    };
+
+} // namespace
+
+std::optional<Sheet> readSheet(std::string_view text, Reasons& reasons)
+{
+    const std::size_t before = reasons.size();
+    if (text.size() > MAX_SHEET_BYTES) {
+        reasons.push_back(Reason { ErrorKind::SheetTooLarge, 0, std::to_string(text.size()) + " bytes" });
+        return std::nullopt;
+    }
+    const auto root = parseToml(text, reasons);
+    if (!root)
+        return std::nullopt;
+    SheetReader reader(reasons);
+    reader.read(*root);
+    if (reasons.size() != before)
+        return std::nullopt;
+    Sheet sheet = reader.take();
+    sheet.hash = SheetHash { XXH3_64bits(text.data(), text.size()) };
+    sheet.text = std::string(text);
+    return sheet;
+}
+
+} // namespace cornelwind
--- /dev/null
+++ b/src/decision/ejector.cpp
@@ -0,0 +1,311 @@
+#include "ejector.h"
+
+#include <algorithm>
+#include <cstdio>
+#include <string>
+
+namespace cornelwind {
+namespace {
+
+    constexpr Duration FIRST_HOLD = std::chrono::seconds(5);
+    constexpr Duration LONGEST_HOLD = std::chrono::minutes(5);
+    constexpr std::uint32_t MAX_DOUBLINGS = 6;
+    constexpr Duration RELAPSE_MEMORY = std::chrono::minutes(10);
+    constexpr Duration TRIAL_TIME = std::chrono::seconds(2);
+    constexpr Duration LONGEST_TRIAL = std::chrono::seconds(20);
+    constexpr std::uint64_t TRIAL_SAMPLES = 3;
+    // In trial a server is judged by less evidence.
+    constexpr double TRIAL_THRESHOLD_SHARE = 0.4;
+    constexpr double SUPPORT_THRESHOLD_SHARE = 0.5;
+    constexpr double OWN_THRESHOLD_SHARE = 0.6;
+    constexpr double ONE_SOURCE_SHARE = 0.8;
+    constexpr Duration CLAIM_LIFETIME = std::chrono::seconds(3);
+    constexpr Duration LEAVE_TIME = std::chrono::seconds(60);
+    constexpr Duration LEAVE_TELL_TIME = std::chrono::seconds(5);
+    constexpr Duration WITHHOLD_REPORT_INTERVAL = std::chrono::seconds(10);
+
+    Duration holdTime(std::uint32_t relapses)
+    {
+        return std::min(FIRST_HOLD * (1U << std::min(relapses, MAX_DOUBLINGS)), LONGEST_HOLD);
+    }
+
+    std::string describeEvidence(const Judgement& judgement)
+    {
+        char text[160];
+        std::snprintf(text, sizeof text, "score %.1f, bad %.1f%% against %.1f%% expected, %llu samples, %u sources", judgement.score,
+            judgement.badShare * 100, judgement.expectedShare * 100, static_cast<unsigned long long>(judgement.recentSamples), judgement.sources);
+        return text;
+    }
+
+    std::string describeBound(double threshold, std::uint32_t out, std::uint32_t budget)
+    {
+        char text[120];
+        std::snprintf(text, sizeof text, "threshold %.1f, %u of %u slots ejected", threshold, out, budget);
+        return text;
+    }
+
+} // namespace
+
+Ejector::Ejector(ServerPool& pool, Detector& detector)
+    : m_pool(pool)
+    , m_detector(detector)
+{
+}
+
+std::uint32_t Ejector::budget(std::uint32_t slots, Slots floor, const FleetView& view)
+{
+    if (slots <= floor.value())
+        return 0;
+    const std::uint64_t spare = slots - floor.value();
+    return static_cast<std::uint32_t>(spare * std::min(view.listedLive, view.listed) / std::max<std::uint32_t>(view.listed, 1));
+}
+
+void Ejector::evaluate(const Sheet& sheet, const FleetView& fleet, Context& context)
+{
+    std::erase_if(m_claims, [&](const auto& row) { return context.now() - row.second.at > CLAIM_LIFETIME; });
+    countClaims();
+    std::erase_if(m_withheldUntil, [&](const auto& row) { return row.second <= context.now(); });
+    for (std::uint32_t i = 0; i < sheet.services.size(); ++i) {
+        const SheetService& config = sheet.services[i];
+        ServiceView view { config, i, ejectionThreshold(config.weighting), 0, 0 };
+        evaluateService(view, fleet, context);
+    }
+}
+
+void Ejector::countClaims()
+{
+    m_claimCounts.clear();
+    for (const auto& [source, claims] : m_claims) {
+        for (const EjectionClaim& claim : claims.rows) {
+            ClaimCount& count = m_claimCounts[claim.server];
+            ++count.out;
+            // A server on trial is out, but no longer accused.
+            count.accusing += claim.remaining > Duration {};
+        }
+    }
+}
+
+void Ejector::evaluateService(ServiceView& view, const FleetView& fleet, Context& context)
+{
+    endHolds(view, context);
+    std::uint32_t slots = 0;
+    for (const Server* server : m_pool.servers(view.index))
+        slots += server->standing == Standing::Leaving ? 0 : server->config.slots.value();
+    view.budget = budget(slots, view.config.floor, fleet);
+    view.out = slotsOut(view.index);
+    returnLeastSuspect(view, context);
+    if (!m_detector.distrustsSelf())
+        ejectSuspects(view, fleet, context);
+}
+
+std::uint32_t Ejector::slotsOut(std::uint32_t service) const
+{
+    std::uint32_t out = 0;
+    for (const Server* server : m_pool.servers(service)) {
+        if (server->standing == Standing::Leaving)
+            continue;
+        const bool isOut = server->standing == Standing::Ejected || server->standing == Standing::Trial || server->avoided || m_claimCounts.contains(server->id);
+        out += isOut ? server->config.slots.value() : 0;
+    }
+    return out;
+}
+
+void Ejector::endHolds(const ServiceView& view, Context& context)
+{
+    for (Server* server : m_pool.servers(view.index)) {
+        if (server->avoided && server->standingUntil <= context.now()) {
+            server->avoided = false;
+            m_detector.forgive(server->id);
+            context.report(DecisionKind::PathRestored, server->config.name.value(), "the hold ended");
+        }
+        if (server->standing == Standing::Trial)
+            endTrial(*server, view, context);
+        if (server->standing == Standing::Ejected && server->standingUntil <= context.now()) {
+            server->standing = Standing::Trial;
+            server->standingUntil = context.now() + TRIAL_TIME;
+            m_detector.forgive(server->id);
+        }
+        if (server->standing == Standing::Leaving && server->standingUntil <= context.now())
+            makeServing(*server, view.config, "it no longer says that it is leaving", context);
+        if (server->standing == Standing::Serving && server->relapses && server->rampEnd + RELAPSE_MEMORY < context.now())
+            server->relapses = 0;
+    }
+}
+
+void Ejector::endTrial(Server& server, const ServiceView& view, Context& context)
+{
+    const Judgement judgement = m_detector.judge(server.id);
+    if (judgement.score >= view.threshold * TRIAL_THRESHOLD_SHARE) {
+        server.standing = Standing::Ejected;
+        ++server.relapses;
+        server.standingUntil = context.now() + holdTime(server.relapses);
+        context.report(DecisionKind::Ejected, server.config.name.value(), "again on trial: " + describeEvidence(judgement),
+            describeBound(view.threshold * TRIAL_THRESHOLD_SHARE, view.out, view.budget), holdTime(server.relapses));
+        return;
+    }
+    const bool proven = judgement.recentSamples >= TRIAL_SAMPLES && context.now() >= server.standingUntil;
+    const bool untested = context.now() >= server.standingUntil + LONGEST_TRIAL;
+    if (proven || untested)
+        makeServing(server, view.config, proven ? "the trial passed" : "the trial ended without work", context);
+}
+
+void Ejector::makeServing(Server& server, const SheetService& config, const char* why, Context& context)
+{
+    server.standing = Standing::Serving;
+    server.rampStart = context.now();
+    server.rampEnd = context.now() + config.coldStart;
+    m_detector.forgive(server.id);
+    m_detector.ignoreSlownessUntil(server.id, server.rampEnd);
+    context.report(DecisionKind::Returned, server.config.name.value(), why, "ramp", config.coldStart);
+}
+
+// Where capacity has shrunk, the floor goes before every suspicion.
+void Ejector::returnLeastSuspect(ServiceView& view, Context& context)
+{
+    while (view.out > view.budget) {
+        Server* least = nullptr;
+        double leastScore = 0;
+        for (Server* server : m_pool.servers(view.index)) {
+            const bool mine = server->standing == Standing::Ejected || server->standing == Standing::Trial || server->avoided;
+            const double score = m_detector.judge(server->id).score;
+            if (!mine || server->standing == Standing::Leaving || (least && score >= leastScore))
+                continue;
+            least = server;
+            leastScore = score;
+        }
+        if (!least)
+            return;
+        least->avoided = false;
+        makeServing(*least, view.config, "the floor needs its slots", context);
+        if (!m_claimCounts.contains(least->id))
+            view.out -= std::min(view.out, least->config.slots.value());
+        else
+            return;
+    }
+}
+
+void Ejector::ejectSuspects(ServiceView& view, const FleetView& fleet, Context& context)
+{
+    struct Suspect {
+        Server* server;
+        Judgement judgement;
+    };
+    std::vector<Suspect> suspects;
+    for (Server* server : m_pool.servers(view.index)) {
+        if (server->standing != Standing::Serving)
+            continue;
+        const Judgement judgement = m_detector.judge(server->id);
+        if (isSick(*server, view, fleet, judgement))
+            suspects.push_back({ server, judgement });
+    }
+    std::sort(suspects.begin(), suspects.end(), [](const Suspect& a, const Suspect& b) {
+        return a.judgement.score != b.judgement.score ? a.judgement.score > b.judgement.score : a.server->id < b.server->id;
+    });
+    for (const Suspect& suspect : suspects) {
+        const Judgement& judgement = suspect.judgement;
+        const bool onePath = fleet.live > 1 && judgement.loudestShare > ONE_SOURCE_SHARE && !claimants(suspect.server->id);
+        if (!onePath)
+            eject(*suspect.server, view, judgement, context);
+        else if (judgement.loudestIsSelf)
+            avoid(*suspect.server, view, judgement, context);
+    }
+}
+
+bool Ejector::isSick(const Server& server, const ServiceView& view, const FleetView& fleet, const Judgement& judgement) const
+{
+    if (judgement.score >= view.threshold)
+        return true;
+    if (fleet.live > 1 && judgement.loudestIsSelf && judgement.ownScore >= view.threshold * OWN_THRESHOLD_SHARE
+        && judgement.loudestShare > ONE_SOURCE_SHARE)
+        return !server.avoided;
+    const std::uint32_t claiming = claimants(server.id);
+    const bool supported = claiming && judgement.score >= view.threshold * SUPPORT_THRESHOLD_SHARE;
+    return supported || claiming * 2 > fleet.live;
+}
+
+void Ejector::eject(Server& server, ServiceView& view, const Judgement& judgement, Context& context)
+{
+    const std::uint32_t slots = server.config.slots.value();
+    // Slots that a peer holds ejected are counted already.
+    const std::uint32_t added = m_claimCounts.contains(server.id) || server.avoided ? 0 : slots;
+    if (view.out + added > view.budget)
+        return withhold(server, view, judgement, context);
+    view.out += added;
+    server.standing = Standing::Ejected;
+    server.avoided = false;
+    server.standingUntil = context.now() + holdTime(server.relapses);
+    context.report(DecisionKind::Ejected, server.config.name.value(), describeEvidence(judgement),
+        describeBound(view.threshold, view.out, view.budget), holdTime(server.relapses));
+    ++server.relapses;
+}
+
+void Ejector::avoid(Server& server, ServiceView& view, const Judgement& judgement, Context& context)
+{
+    if (server.avoided)
+        return;
+    if (view.out + server.config.slots.value() > view.budget)
+        return withhold(server, view, judgement, context);
+    view.out += server.config.slots.value();
+    server.avoided = true;
+    server.standingUntil = context.now() + holdTime(server.relapses);
+    context.report(DecisionKind::PathAvoided, server.config.name.value(), "only seen from here: " + describeEvidence(judgement),
+        describeBound(view.threshold, view.out, view.budget), holdTime(server.relapses));
+    ++server.relapses;
+}
+
+void Ejector::withhold(const Server& server, const ServiceView& view, const Judgement& judgement, Context& context)
+{
+    if (!m_withheldUntil.emplace(server.id, context.now() + WITHHOLD_REPORT_INTERVAL).second)
+        return;
+    context.report(DecisionKind::EjectionWithheld, server.config.name.value(), describeEvidence(judgement),
+        describeBound(view.threshold, view.out, view.budget), WITHHOLD_REPORT_INTERVAL);
+}
+
+void Ejector::onClaims(std::uint64_t source, std::vector<EjectionClaim> claims, Time now)
+{
+    m_claims[source] = Claims { std::move(claims), now };
+}
+
+std::uint32_t Ejector::claimants(ServerId server) const
+{
+    const auto found = m_claimCounts.find(server);
+    return found == m_claimCounts.end() ? 0 : found->second.accusing;
+}
+
+void Ejector::onLeaving(ServerId id, bool direct, Context& context)
+{
+    Server* server = m_pool.find(id);
+    if (!server || server->standing == Standing::Removed)
+        return;
+    if (server->standing != Standing::Leaving)
+        context.report(DecisionKind::Leaving, server->config.name.value(), direct ? "it says so" : "a peer says so", {}, LEAVE_TIME);
+    server->standing = Standing::Leaving;
+    server->standingUntil = context.now() + LEAVE_TIME;
+    if (direct)
+        m_leavingTold[id] = context.now();
+}
+
+std::vector<EjectionClaim> Ejector::claims(const Sheet& sheet, Time now) const
+{
+    std::vector<EjectionClaim> claims;
+    for (std::uint32_t i = 0; i < sheet.services.size(); ++i) {
+        for (const Server* server : m_pool.servers(i)) {
+            if (server->standing == Standing::Ejected)
+                claims.push_back({ server->id, std::max<Duration>(server->standingUntil - now, Millis { 1 }), server->relapses });
+            if (server->standing == Standing::Trial)
+                claims.push_back({ server->id, Duration {}, server->relapses });
+        }
+    }
+    return claims;
+}
+
+std::vector<ServerId> Ejector::leavingToTell(Time now)
+{
+    std::erase_if(m_leavingTold, [now](const auto& row) { return now - row.second > LEAVE_TELL_TIME; });
+    std::vector<ServerId> servers;
+    for (const auto& [server, at] : m_leavingTold)
+        servers.push_back(server);
+    return servers;
+}
+
+} // namespace cornelwind
--- /dev/null
+++ b/src/decision/health.cpp
@@ -0,0 +1,203 @@
+#include "health.h"
+
+#include "peer.pb.h"
+
+#include <algorithm>
+#include <string>
+
+namespace cornelwind {
+namespace {
+
+    constexpr std::size_t MAX_EVIDENCE_PEERS = 32;
+    constexpr std::size_t MAX_CRASHES_TOLD = 16;
+    constexpr Duration PROBE_PERIOD = std::chrono::seconds(1);
+    constexpr Millis PROBE_TIME_LIMIT { 1000 };
+    // Fewer outcomes than this in the recent window say too little.
+    constexpr std::uint64_t QUIET_SAMPLES = 10;
+
+    std::uint64_t sourceOf(const MemberRecord& member)
+    {
+        return serverIdOf(ServerName { member.name.value() }).value();
+    }
+
+    Digest readDigest(const peer::Evidence& evidence)
+    {
+        Digest digest;
+        digest.sequence = evidence.sequence();
+        for (const peer::EvidenceRow& row : evidence.rows())
+            digest.rows.push_back({ ServerId { row.server() }, { row.samples(), row.failures(), row.slow() } });
+        return digest;
+    }
+
+} // namespace
+
+Health::Health(Parts parts)
+    : m_parts(parts)
+    , m_ejector(parts.pool, m_detector)
+{
+}
+
+void Health::adopt(SheetPtr sheet)
+{
+    m_sheet = std::move(sheet);
+    m_detector.adopt(*m_sheet);
+    for (std::uint32_t i = 0; i < m_parts.pool.serviceCount(); ++i) {
+        for (const Server* server : m_parts.pool.servers(i)) {
+            if (server->rampEnd > Time {})
+                m_detector.ignoreSlownessUntil(server->id, server->rampEnd);
+        }
+    }
+}
+
+FleetView Health::fleetView() const
+{
+    FleetView view;
+    view.rank = m_parts.members.rank();
+    view.live = 1 + static_cast<std::uint32_t>(m_parts.members.liveCount());
+    view.listed = static_cast<std::uint32_t>(m_parts.members.listedCount());
+    view.listedLive = static_cast<std::uint32_t>(m_parts.members.listedLiveCount());
+    return view;
+}
+
+void Health::onTick(Context& context)
+{
+    if (!m_sheet || context.now() < m_nextEvaluation)
+        return;
+    m_nextEvaluation = context.now() + EVIDENCE_INTERVAL;
+    const FleetView view = fleetView();
+    m_parts.pool.setInstances(view.rank, view.live);
+    const Digest& digest = m_detector.evaluate(context.now());
+    if (m_detector.distrustsSelf() != m_distrusted) {
+        m_distrusted = !m_distrusted;
+        context.report(DecisionKind::SelfDistrusted, m_parts.members.self().value(),
+            m_distrusted ? "most paths fail from here only" : "paths work again", "more than half of the paths");
+    }
+    m_ejector.evaluate(*m_sheet, view, context);
+    m_parts.quarantine.expire(context.now());
+    sendEvidence(digest, context);
+    probeQuietServers(context);
+}
+
+void Health::sendEvidence(const Digest& digest, Context& context)
+{
+    auto message = makeEvidence(digest, context);
+    const peer::Evidence& evidence = message->evidence();
+    const bool toldBefore = m_toldEjections;
+    m_toldEjections = evidence.ejections_size() > 0;
+    const bool news = evidence.rows_size() || evidence.ejections_size() || evidence.crashes_size() || evidence.leaving_size() || toldBefore;
+    if (!news)
+        return;
+    auto members = m_parts.members.live();
+    // In a larger fleet each round goes to other peers.
+    while (members.size() > MAX_EVIDENCE_PEERS)
+        members.erase(members.begin() + static_cast<std::ptrdiff_t>(context.random() % members.size()));
+    for (const MemberRecord* member : members)
+        m_parts.gossip.send(*member, std::make_shared<peer::Envelope>(*message), context);
+}
+
+std::shared_ptr<peer::Envelope> Health::makeEvidence(const Digest& digest, Context& context)
+{
+    auto message = std::make_shared<peer::Envelope>();
+    peer::Evidence& evidence = *message->mutable_evidence();
+    evidence.set_sequence(digest.sequence);
+    for (const DigestRow& row : digest.rows) {
+        peer::EvidenceRow& out = *evidence.add_rows();
+        out.set_server(row.server.value());
+        out.set_samples(row.tally.samples);
+        out.set_failures(row.tally.failures);
+        out.set_slow(row.tally.slow);
+    }
+    for (const EjectionClaim& claim : m_ejector.claims(*m_sheet, context.now())) {
+        peer::EjectionRow& out = *evidence.add_ejections();
+        out.set_server(claim.server.value());
+        out.set_remaining_ms(static_cast<std::uint32_t>(std::chrono::duration_cast<Millis>(claim.remaining).count()));
+        out.set_relapses(claim.relapses);
+    }
+    for (const Fingerprint fingerprint : m_crashesToTell)
+        evidence.add_crashes()->set_fingerprint(fingerprint.value());
+    m_crashesToTell.clear();
+    for (const ServerId server : m_ejector.leavingToTell(context.now()))
+        evidence.add_leaving(server.value());
+    return message;
+}
+
+void Health::onEvidence(const peer::Evidence& evidence, const MemberRecord& sender, Context& context)
+{
+    if (!m_parts.members.counts(sender.name))
+        return;
+    const std::uint64_t source = sourceOf(sender);
+    if (!m_detector.merge(source, sender.incarnation.value(), readDigest(evidence), context.now()))
+        return;
+    std::vector<EjectionClaim> claims;
+    for (const peer::EjectionRow& row : evidence.ejections())
+        claims.push_back({ ServerId { row.server() }, Millis { row.remaining_ms() }, row.relapses() });
+    m_ejector.onClaims(source, std::move(claims), context.now());
+    for (const peer::CrashRow& row : evidence.crashes())
+        recordCrash(Fingerprint { row.fingerprint() }, context);
+    for (const std::uint64_t server : evidence.leaving())
+        m_ejector.onLeaving(ServerId { server }, false, context);
+}
+
+void Health::onCrash(Fingerprint fingerprint, Context& context)
+{
+    recordCrash(fingerprint, context);
+    if (m_crashesToTell.size() < MAX_CRASHES_TOLD)
+        m_crashesToTell.push_back(fingerprint);
+}
+
+void Health::recordCrash(Fingerprint fingerprint, Context& context)
+{
+    if (!m_parts.quarantine.recordCrash(fingerprint, context.now()))
+        return;
+    context.report(DecisionKind::Quarantined, std::to_string(fingerprint.value()), "backend servers crashed while running it",
+        "at most " + std::to_string(Quarantine::CRASH_LIMIT) + " crashes", Quarantine::LIFETIME);
+}
+
+void Health::onServersListed(const ServersListed& event, Context& context)
+{
+    for (const ServerName& name : event.leaving)
+        m_ejector.onLeaving(serverIdOf(name), true, context);
+}
+
+// Server `i` is probed by the entry instance of rank `i mod n`, so that the fleet probes each once a period.
+void Health::probeQuietServers(Context& context)
+{
+    if (context.now() < m_nextProbe)
+        return;
+    m_nextProbe = context.now() + PROBE_PERIOD;
+    const FleetView view = fleetView();
+    std::uint32_t position = 0;
+    for (std::uint32_t i = 0; i < m_sheet->services.size(); ++i) {
+        const SheetService& config = m_sheet->services[i];
+        for (const Server* server : m_parts.pool.servers(i)) {
+            const bool mine = position++ % view.live == view.rank;
+            const bool quiet = m_detector.judge(server->id).recentSamples < QUIET_SAMPLES;
+            if (mine && quiet && !config.healthPath.empty())
+                context.emit(SendProbe { server->id, server->config.address, config.healthPath, config.drainHeader, PROBE_TIME_LIMIT });
+        }
+    }
+}
+
+void Health::onProbe(const ProbeFinished& event, Context& context)
+{
+    if (event.leaving)
+        m_ejector.onLeaving(event.server, true, context);
+    // A health endpoint that says "well" proves little, so only its silence accuses.
+    if (m_detector.judge(event.server).recentSamples < QUIET_SAMPLES)
+        m_detector.probed(event.server, !event.answered || !event.healthy);
+}
+
+void Health::trySent(TryId id, ServerId server, Time now)
+{
+    m_detector.trySent(id, server, now);
+}
+
+void Health::tryEnded(TryId id, cornelwind::Evidence evidence, Time now)
+{
+    std::optional<bool> failed;
+    if (evidence != cornelwind::Evidence::None)
+        failed = evidence == cornelwind::Evidence::Failure;
+    m_detector.tryEnded(id, failed, now);
+}
+
+} // namespace cornelwind
--- /dev/null
+++ b/src/decision/member_table.cpp
@@ -0,0 +1,276 @@
+#include "member_table.h"
+
+#include "peer.pb.h"
+
+#include <algorithm>
+#include <array>
+#include <bit>
+
+namespace cornelwind {
+namespace {
+
+    constexpr std::size_t MAX_PAST = 8;
+    constexpr std::size_t MAX_UNLISTED = 64;
+    constexpr Duration DEAD_MEMORY = std::chrono::seconds(60);
+    // A direct message this recent outweighs hearsay about another incarnation.
+    constexpr Duration FRESH_CONTACT = std::chrono::seconds(2);
+    constexpr std::uint32_t GOSSIP_FACTOR = 3;
+
+    bool isLive(const MemberRecord& member)
+    {
+        return member.state == MemberState::Alive || member.state == MemberState::Suspect;
+    }
+
+    MemberState readState(std::uint32_t number)
+    {
+        return number <= static_cast<std::uint32_t>(MemberState::Leaving) ? static_cast<MemberState>(number) : MemberState::Suspect;
+    }
+
+    bool isPast(const MemberRecord& member, Incarnation incarnation)
+    {
+        return std::find(member.past.begin(), member.past.end(), incarnation) != member.past.end();
+    }
+
+} // namespace
+
+const char* toString(MemberState state)
+{
+    static constexpr std::array names { "listed", "alive", "suspect", "dead", "leaving" };
+    return names.at(static_cast<std::size_t>(state));
+}
+
+void writeMember(const MemberRecord& record, peer::Member& member)
+{
+    member.set_name(record.name.value());
+    member.set_zone(record.zone.value());
+    member.set_address(toString(record.address));
+    member.set_incarnation(record.incarnation.value());
+    member.set_refutation(record.refutation);
+    member.set_state(static_cast<std::uint32_t>(record.state));
+}
+
+MemberTable::MemberTable(InstanceName self, ZoneName zone, const std::vector<PeerRoute>& routes)
+    : m_self(std::move(self))
+    , m_zone(std::move(zone))
+{
+    for (const PeerRoute& route : routes)
+        m_routes[route.instance] = route.via;
+}
+
+const Endpoint& MemberTable::addressOf(const MemberRecord& member) const
+{
+    const auto route = m_routes.find(member.name);
+    return route == m_routes.end() ? member.address : route->second;
+}
+
+MemberRecord* MemberTable::heardFrom(const peer::Member& sender, Context& context)
+{
+    const InstanceName name { sender.name() };
+    const Incarnation incarnation { sender.incarnation() };
+    const auto address = parseEndpoint(sender.address());
+    if (name == m_self || name.value().empty() || !address || !incarnation.value())
+        return nullptr;
+    if (!m_members.contains(name) && m_members.size() >= MAX_UNLISTED + listedCount())
+        return nullptr;
+    MemberRecord& member = m_members[name];
+    if (isPast(member, incarnation))
+        return nullptr;
+    member.name = name;
+    if (member.incarnation != incarnation)
+        restart(member, incarnation);
+    member.zone = ZoneName { sender.zone() };
+    member.address = *address;
+    member.lastHeard = context.now();
+    member.refutation = std::max(member.refutation, sender.refutation());
+    const MemberState claimed = readState(sender.state());
+    if (claimed == MemberState::Leaving)
+        change(member, MemberState::Leaving, "says that it is stopping", context);
+    else if (member.state != MemberState::Leaving)
+        change(member, MemberState::Alive, "was heard", context);
+    return &member;
+}
+
+void MemberTable::restart(MemberRecord& member, Incarnation incarnation)
+{
+    if (member.incarnation.value()) {
+        member.past.push_back(member.incarnation);
+        if (member.past.size() > MAX_PAST)
+            member.past.pop_front();
+    }
+    member.incarnation = incarnation;
+    member.refutation = 0;
+    member.state = MemberState::Listed;
+}
+
+void MemberTable::merge(const peer::Member& update, Context& context)
+{
+    const InstanceName name { update.name() };
+    if (name == m_self)
+        return refute(update);
+    const auto address = parseEndpoint(update.address());
+    const Incarnation incarnation { update.incarnation() };
+    const MemberState state = readState(update.state());
+    if (name.value().empty() || !address || !incarnation.value() || state == MemberState::Listed)
+        return;
+    if (!m_members.contains(name)) {
+        if (state == MemberState::Dead || m_members.size() >= MAX_UNLISTED + listedCount())
+            return;
+        MemberRecord& fresh = m_members[name];
+        fresh.name = name;
+        fresh.zone = ZoneName { update.zone() };
+        fresh.address = *address;
+    }
+    MemberRecord& member = m_members[name];
+    if (isPast(member, incarnation))
+        return;
+    if (member.incarnation != incarnation) {
+        const bool recent = member.incarnation.value() && context.now() - member.lastHeard < FRESH_CONTACT;
+        if (recent || state == MemberState::Dead)
+            return;
+        restart(member, incarnation);
+        member.address = *address;
+        member.zone = ZoneName { update.zone() };
+    }
+    const bool newer = update.refutation() > member.refutation;
+    const bool worse = update.refutation() == member.refutation && state > member.state;
+    if (!newer && !worse)
+        return;
+    member.refutation = update.refutation();
+    change(member, state, "was reported by a member", context);
+}
+
+// Whoever is told that it is suspected raises its number, which outweighs the suspicion.
+void MemberTable::refute(const peer::Member& update)
+{
+    const MemberState state = readState(update.state());
+    const bool accused = state == MemberState::Suspect || state == MemberState::Dead;
+    if (Incarnation { update.incarnation() } == m_incarnation && accused)
+        m_refutation = std::max(m_refutation, update.refutation() + 1);
+}
+
+void MemberTable::onListed(const InstancesListed& event, Context& context)
+{
+    m_listKnown = true;
+    m_selfListed = false;
+    for (auto& [name, member] : m_members)
+        member.listed = false;
+    for (const ListedInstance& listed : event.instances) {
+        if (listed.name == m_self) {
+            m_selfListed = true;
+            continue;
+        }
+        MemberRecord& member = m_members[listed.name];
+        member.listed = true;
+        if (member.name != listed.name) {
+            member.name = listed.name;
+            member.zone = listed.zone;
+            member.address = listed.address;
+        }
+        if (listed.leaving && member.state == MemberState::Alive)
+            change(member, MemberState::Leaving, "is listed as leaving", context);
+    }
+    std::erase_if(m_members, [](const auto& row) { return !row.second.listed && row.second.state == MemberState::Listed; });
+}
+
+void MemberTable::suspect(MemberRecord& member, Context& context)
+{
+    if (member.state == MemberState::Alive || member.state == MemberState::Leaving)
+        change(member, MemberState::Suspect, "did not answer", context);
+}
+
+void MemberTable::expire(Context& context)
+{
+    for (auto& [name, member] : m_members) {
+        if (member.state == MemberState::Suspect && member.stateUntil <= context.now())
+            change(member, MemberState::Dead, "did not refute the suspicion", context);
+    }
+    std::erase_if(m_members, [&](const auto& row) {
+        return row.second.state == MemberState::Dead && !row.second.listed && row.second.stateUntil <= context.now();
+    });
+}
+
+std::vector<peer::Member> MemberTable::takeUpdates(std::size_t most)
+{
+    std::vector<peer::Member> updates;
+    for (auto& [name, member] : m_members) {
+        if (updates.size() == most)
+            break;
+        if (!member.gossipLeft)
+            continue;
+        --member.gossipLeft;
+        writeMember(member, updates.emplace_back());
+    }
+    return updates;
+}
+
+MemberRecord* MemberTable::find(const InstanceName& name)
+{
+    const auto found = m_members.find(name);
+    return found == m_members.end() ? nullptr : &found->second;
+}
+
+std::optional<Endpoint> MemberTable::reach(const InstanceName& name, Incarnation incarnation) const
+{
+    const auto found = m_members.find(name);
+    if (found == m_members.end())
+        return std::nullopt;
+    const MemberRecord& member = found->second;
+    const bool answers = isLive(member) || member.state == MemberState::Leaving;
+    const bool sameStart = !incarnation.value() || member.incarnation == incarnation;
+    if (!answers || !sameStart)
+        return std::nullopt;
+    return addressOf(member);
+}
+
+bool MemberTable::counts(const InstanceName& name) const
+{
+    const auto found = m_members.find(name);
+    return !m_listKnown || (found != m_members.end() && found->second.listed);
+}
+
+std::vector<MemberRecord*> MemberTable::live()
+{
+    std::vector<MemberRecord*> members;
+    for (auto& [name, member] : m_members) {
+        if (isLive(member))
+            members.push_back(&member);
+    }
+    return members;
+}
+
+std::size_t MemberTable::liveCount() const
+{
+    return std::count_if(m_members.begin(), m_members.end(), [](const auto& row) { return isLive(row.second); });
+}
+
+std::uint32_t MemberTable::rank() const
+{
+    return static_cast<std::uint32_t>(std::count_if(m_members.begin(), m_members.end(),
+        [this](const auto& row) { return isLive(row.second) && row.first < m_self; }));
+}
+
+std::size_t MemberTable::listedCount() const
+{
+    return 1 + std::count_if(m_members.begin(), m_members.end(), [](const auto& row) { return row.second.listed; });
+}
+
+std::size_t MemberTable::listedLiveCount() const
+{
+    return 1 + std::count_if(m_members.begin(), m_members.end(), [](const auto& row) { return row.second.listed && isLive(row.second); });
+}
+
+void MemberTable::change(MemberRecord& member, MemberState state, const char* why, Context& context)
+{
+    if (member.state == state)
+        return;
+    const char* before = toString(member.state);
+    member.state = state;
+    if (state == MemberState::Suspect)
+        member.stateUntil = context.now() + SUSPICION_TIME;
+    if (state == MemberState::Dead)
+        member.stateUntil = context.now() + DEAD_MEMORY;
+    member.gossipLeft = GOSSIP_FACTOR * static_cast<std::uint32_t>(std::bit_width(m_members.size() + 1));
+    context.report(DecisionKind::MemberChanged, member.name.value(), std::string(before) + " to " + toString(state) + ", " + why);
+}
+
+} // namespace cornelwind
--- /dev/null
+++ b/src/decision/reducer.cpp
@@ -0,0 +1,276 @@
+#include "cornelwind/reducer.h"
+
+#include "drain.h"
+#include "gossip.h"
+#include "health.h"
+#include "key_book.h"
+#include "member_table.h"
+#include "peer.pb.h"
+#include "request_flow.h"
+#include "sheet_keeper.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace cornelwind {
+namespace {
+
+    constexpr std::uint32_t MAX_KEYS_PER_CALL = 100;
+    // Those who do not watch read the instance list at a rate that the whole fleet shares: 100 calls a second.
+    constexpr Millis MIN_LIST_REFRESH { 10000 };
+    constexpr Millis LIST_REFRESH_PER_INSTANCE { 10 };
+
+    Gossip::Identity makeIdentity(const Settings& settings, Incarnation incarnation)
+    {
+        return { settings.name, settings.zone, settings.advertised.value_or(settings.peers), incarnation, settings.seeds };
+    }
+
+    KeyBook::Limits makeKeyLimits(const Settings& settings)
+    {
+        return { { settings.maxKeys, static_cast<std::size_t>(settings.maxStoredAnswers.value()) }, settings.keyLifetime };
+    }
+
+} // namespace
+
+/// The modules of one entry instance. Only passes events on to them.
+class Reducer::State {
+public:
+    State(const Settings& settings, Incarnation incarnation, const KeySecret& secret, Time start)
+        : m_keys(KeyMint(settings.name, incarnation, secret, start), makeKeyLimits(settings))
+        , m_pool(makeSlotShareSelector())
+        , m_members(settings.name, settings.zone, settings.routes)
+        , m_gossip(makeIdentity(settings, incarnation), m_members, m_sheets)
+        , m_health({ m_pool, m_quarantine, m_members, m_gossip })
+        , m_flow({ m_pool, m_keys, m_quarantine, m_health, m_members,
+              [this](ServerId server, Context& context) { m_health.onLeaving(server, context); },
+              [this](Fingerprint fingerprint, Context& context) { m_health.onCrash(fingerprint, context); } })
+        , m_drain({ m_gossip, m_members, m_keys, m_flow }, settings.stopTime)
+    {
+    }
+
+    void apply(const Event& event, EffectList& effects)
+    {
+        Context context(event.at, event.random, effects);
+        const std::size_t before = effects.size();
+        std::visit([&](const auto& body) { on(body, context); }, event.body);
+        for (std::size_t i = before; i < effects.size(); ++i) {
+            if (const auto* report = std::get_if<Report>(&effects[i]))
+                m_decisions.add(report->decision);
+        }
+    }
+
+    void sign(peer::Envelope& message) const { m_gossip.sign(message); }
+    Status status(Time now) const;
+    Counters counters() const
+    {
+        const FlowCounters& flow = m_flow.counters();
+        return { flow.requests, flow.relayed, flow.refused, flow.tries, flow.retries, flow.hedges, flow.forwarded, flow.joined, flow.repeated, flow.sheds };
+    }
+    std::vector<Decision> explain(const std::string& subject, std::size_t most) const { return m_decisions.about(subject, most); }
+
+private:
+    void on(const HeadReceived& event, Context& context) { m_flow.onHead(event, context); }
+    void on(const BodyReceived& event, Context& context) { m_flow.onBody(event, context); }
+    void on(const ReceiveFailed& event, Context& context) { m_flow.onReceiveFailed(event, context); }
+    void on(const CallerGone& event, Context& context) { m_flow.onCallerGone(event, context); }
+    void on(const TryFinished& event, Context& context) { m_flow.onTryFinished(event, context); }
+    void on(const OwnerReplied& event, Context& context) { m_flow.onOwnerReplied(event, context); }
+    void on(const ProbeFinished& event, Context& context) { m_health.onProbe(event, context); }
+    void on(const ServersListed& event, Context& context) { m_health.onServersListed(event, context); }
+    void on(const StopRequested&, Context& context) { m_drain.onStopRequested(context); }
+    void on(const PlatformReached&, Context& context) { m_gossip.platformAnswered(context.now()); }
+
+    void on(const KeysWanted& event, Context& context)
+    {
+        GiveKeys keys { event.request, {} };
+        for (std::uint32_t i = 0; i < std::min(event.count, MAX_KEYS_PER_CALL); ++i)
+            keys.keys.push_back(m_keys.mint(context.now()));
+        context.emit(std::move(keys));
+    }
+
+    void on(const SheetFetched& event, Context& context)
+    {
+        m_gossip.platformAnswered(context.now());
+        offerSheet(event.text, "the platform", context);
+    }
+
+    void on(const InstancesListed& event, Context& context)
+    {
+        m_gossip.platformAnswered(context.now());
+        m_members.onListed(event, context);
+    }
+
+    void on(const PeerReceived& event, Context& context)
+    {
+        MemberRecord* sender = m_gossip.onMessage(*event.message, context);
+        if (!sender)
+            return;
+        const peer::Envelope& message = *event.message;
+        if (message.has_evidence())
+            m_health.onEvidence(message.evidence(), *sender, context);
+        else if (message.has_sheet_request())
+            sendSheet(*sender, context);
+        else if (message.has_sheet_reply())
+            offerSheet(message.sheet_reply().text(), sender->name.value(), context);
+        else
+            m_drain.onMessage(message, *sender, context);
+    }
+
+    void on(const Tick&, Context& context)
+    {
+        m_gossip.onTick(context);
+        m_flow.onTick(context);
+        m_health.onTick(context);
+        m_drain.onTick(context);
+        m_keys.expire(context.now());
+        updateWatch(context);
+        updateReady(context);
+    }
+
+    void offerSheet(const std::string& text, const std::string& source, Context& context)
+    {
+        if (!m_sheets.offer(text, source, context))
+            return;
+        m_pool.adopt(*m_sheets.current(), context.now());
+        m_flow.adopt(m_sheets.current());
+        m_health.adopt(m_sheets.current());
+        m_gossip.announce(context);
+    }
+
+    void sendSheet(const MemberRecord& to, Context& context)
+    {
+        if (!m_sheets.current())
+            return;
+        auto message = std::make_shared<peer::Envelope>();
+        message->mutable_sheet_reply()->set_text(m_sheets.current()->text);
+        m_gossip.send(to, std::move(message), context);
+    }
+
+    void updateWatch(Context& context)
+    {
+        const bool watch = m_gossip.shouldWatch(context.now());
+        const Millis refresh = std::max<Millis>(MIN_LIST_REFRESH, LIST_REFRESH_PER_INSTANCE * (1 + m_members.liveCount()));
+        if (watch == m_watching && refresh == m_refresh)
+            return;
+        m_watching = watch;
+        m_refresh = refresh;
+        context.emit(WatchPlatform { watch, refresh });
+    }
+
+    // A start with empty memory waits for the peers, so that a stale platform cannot bring an old sheet into force.
+    void updateReady(Context& context)
+    {
+        if (m_ready || m_drain.stopping() || !m_sheets.current() || !m_gossip.joined(context.now()))
+            return;
+        m_ready = true;
+        m_flow.open();
+        context.emit(SetReady { true });
+    }
+
+    KeyBook m_keys;
+    Quarantine m_quarantine;
+    ServerPool m_pool;
+    SheetKeeper m_sheets;
+    MemberTable m_members;
+    Gossip m_gossip;
+    Health m_health;
+    RequestFlow m_flow;
+    Drain m_drain;
+    DecisionLog m_decisions;
+    Millis m_refresh {};
+    bool m_watching = false;
+    bool m_ready = false;
+};
+
+Status Reducer::State::status(Time now) const
+{
+    Status status;
+    status.name = m_members.self();
+    status.incarnation = m_members.incarnation();
+    status.ready = m_ready && !m_drain.stopping();
+    status.stopping = m_drain.stopping();
+    status.watching = m_watching;
+    status.platformAge = m_gossip.platformAge(now);
+    status.requests = m_flow.size();
+    status.keys = m_keys.size();
+    for (const auto& [name, member] : m_members.records())
+        status.members.push_back({ name, member.zone, toString(member.state), member.listed, member.direct });
+    if (!m_sheets.current())
+        return status;
+    status.sheet = m_sheets.current()->version;
+    status.sheetAge = now - m_sheets.adoptedAt();
+    for (std::uint32_t i = 0; i < m_pool.serviceCount(); ++i) {
+        for (const Server* server : m_pool.servers(i)) {
+            const Judgement judgement = m_health.judge(server->id);
+            status.servers.push_back({ server->config.name, server->service, toString(server->standing), server->avoided, server->inFlight,
+                server->config.slots.value(), server->ownSlots, judgement.score,
+                ejectionThreshold(m_sheets.current()->services[i].weighting), judgement.badShare, judgement.expectedShare });
+        }
+    }
+    return status;
+}
+
+Reducer::Reducer(std::unique_ptr<State> state)
+    : m_state(std::move(state))
+{
+}
+
+Reducer::Reducer(Reducer&&) noexcept = default;
+Reducer& Reducer::operator=(Reducer&&) noexcept = default;
+Reducer::~Reducer() = default;
+
+void Reducer::apply(const Event& event, EffectList& effects)
+{
+    m_state->apply(event, effects);
+}
+
+void Reducer::sign(peer::Envelope& message) const
+{
+    m_state->sign(message);
+}
+
+Status Reducer::status(Time now) const
+{
+    return m_state->status(now);
+}
+
+Counters Reducer::counters() const
+{
+    return m_state->counters();
+}
+
+std::vector<Decision> Reducer::explain(const std::string& subject, std::size_t most) const
+{
+    return m_state->explain(subject, most);
+}
+
+Reducer::Builder& Reducer::Builder::settings(Settings settings)
+{
+    m_settings = std::move(settings);
+    return *this;
+}
+
+Reducer::Builder& Reducer::Builder::incarnation(Incarnation incarnation)
+{
+    m_incarnation = incarnation;
+    return *this;
+}
+
+Reducer::Builder& Reducer::Builder::secret(const KeySecret& secret)
+{
+    m_secret = secret;
+    return *this;
+}
+
+Reducer::Builder& Reducer::Builder::start(Time start)
+{
+    m_start = start;
+    return *this;
+}
+
+Reducer Reducer::Builder::build()
+{
+    return Reducer(std::make_unique<State>(m_settings, m_incarnation, m_secret, m_start));
+}
+
+} // namespace cornelwind
--- /dev/null
+++ b/src/decision/request_flow.h
@@ -0,0 +1,215 @@
+#pragma once
+
+#include "context.h"
+#include "cornelwind/admission.h"
+#include "cornelwind/event.h"
+#include "cornelwind/quarantine.h"
+#include "cornelwind/retry_budget.h"
+#include "cornelwind/router.h"
+#include "cornelwind/server_pool.h"
+#include "evidence_sink.h"
+#include "key_book.h"
+
+#include <array>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <queue>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace cornelwind {
+
+/// Tells which entry instances can be asked.
+class PeerDirectory {
+public:
+    virtual ~PeerDirectory() = default;
+
+    /// @param incarnation zero for any
+    /// @return where that start of the entry instance can be reached, or nothing if it is not known to answer
+    virtual std::optional<Endpoint> reach(const InstanceName& name, Incarnation incarnation) const = 0;
+};
+
+/// Counts of what the request flow did, for metrics.
+struct FlowCounters {
+    std::uint64_t requests = 0;
+    std::uint64_t relayed = 0;
+    std::uint64_t refused = 0;
+    std::uint64_t tries = 0;
+    std::uint64_t retries = 0;
+    std::uint64_t hedges = 0;
+    std::uint64_t forwarded = 0;
+    std::uint64_t joined = 0;
+    std::uint64_t repeated = 0;
+    std::uint64_t sheds = 0;
+};
+
+/// Takes each request from its head to its answer: routing, keys, admission, sends and retries.
+///
+/// Memory: one entry for each request in progress; the shell bounds their number.
+class RequestFlow {
+public:
+    struct Parts {
+        ServerPool& pool;
+        KeyBook& keys;
+        Quarantine& quarantine;
+        EvidenceSink& evidence;
+        const PeerDirectory& peers;
+        /// Called when a backend server says that it is leaving.
+        std::function<void(ServerId, Context&)> leaving;
+        /// Called when a fingerprint crashed a backend server.
+        std::function<void(Fingerprint, Context&)> crashed;
+    };
+
+    explicit RequestFlow(Parts parts);
+
+    /// Routes later requests by `sheet`, which the pool has adopted. Requests in progress keep theirs.
+    void adopt(SheetPtr sheet);
+
+    /// Accepts requests from now on.
+    void open() { m_open = true; }
+
+    void onHead(const HeadReceived& event, Context& context);
+    void onBody(const BodyReceived& event, Context& context);
+    void onReceiveFailed(const ReceiveFailed& event, Context& context);
+    void onCallerGone(const CallerGone& event, Context& context);
+    void onTryFinished(const TryFinished& event, Context& context);
+    void onOwnerReplied(const OwnerReplied& event, Context& context);
+    void onTick(Context& context);
+
+    /// @return whether no request is in progress
+    bool idle() const { return m_requests.empty(); }
+    /// @return whether no keyed request is being received, waits or runs here
+    bool keyedIdle() const;
+    /// Holds back new keyed requests until `resumeKeyed`, so that the running ones come to an end.
+    void pauseKeyed() { m_keyedPaused = true; }
+    /// Takes up the requests held back, by then with the heir of their keys.
+    void resumeKeyed(Context& context);
+    /// Ends what still waits on another entry instance or on a slot, because time is up.
+    void abandonAll(Context& context);
+
+    const FlowCounters& counters() const { return m_counters; }
+    std::size_t size() const { return m_requests.size(); }
+
+private:
+    static constexpr std::size_t MAX_ACTIVE = 2;
+    static constexpr std::size_t MAX_TRIED = 8;
+
+    struct Service {
+        ServiceName name;
+        SheetService config;
+        /// Index in the sheet in force; nothing once the service has left it.
+        std::optional<std::uint32_t> index;
+        AdmissionQueue queue;
+        RetryBudget budget;
+    };
+    using ServicePtr = std::shared_ptr<Service>;
+
+    enum class Phase : std::uint8_t {
+        Receiving,
+        /// Held back while keys are handed over.
+        Paused,
+        Queued,
+        Sent,
+        /// Waits for the result of another send of its key.
+        Joined,
+        /// Waits for the owner of its key.
+        Forwarded,
+    };
+
+    struct ActiveTry {
+        TryId id;
+        ServerId server;
+    };
+
+    struct Request {
+        RequestId id;
+        SheetPtr sheet;
+        const SheetRule* rule = nullptr;
+        ServicePtr service;
+        Phase phase = Phase::Receiving;
+        /// When the caller is answered at the latest.
+        Time deadline;
+        /// When the work itself ends at the latest.
+        Time runLimit;
+        bool forwarded = false;
+        bool answered = false;
+        Fingerprint fingerprint;
+        std::optional<ParsedKey> key;
+        std::array<ServerId, MAX_TRIED> tried;
+        std::uint8_t triedCount = 0;
+        std::uint8_t sendCount = 0;
+        std::array<ActiveTry, MAX_ACTIVE> active;
+        std::uint8_t activeCount = 0;
+    };
+
+    struct Timer {
+        Time at;
+        RequestId request;
+        bool hedge;
+
+        friend bool operator>(const Timer& a, const Timer& b) { return a.at > b.at; }
+    };
+
+    struct Refusal {
+        ErrorKind error;
+        Outcome outcome;
+        std::optional<Millis> retryAfter;
+    };
+
+    using ResultHandler = void (RequestFlow::*)(Request&, const ActiveTry&, const TryFinished&, Context&);
+
+    static ResultHandler handlerOf(TryResult result);
+
+    // Keys.
+    std::optional<Refusal> checkKey(Request& request, const HeadReceived& event);
+    void beginKeyed(Request& request, Context& context);
+    void forward(Request& request, const KeyOwner& owner, Context& context);
+    bool needsKey(const Request& request) const;
+
+    // Admission and sends.
+    void admit(Request& request, Context& context);
+    std::optional<Refusal> refusalBeforeSend(const Request& request, Time now) const;
+    bool trySend(Request& request, Context& context);
+    void send(Request& request, Server& server, Context& context);
+    void pump(Service& service, Context& context);
+    bool retry(Request& request, Context& context);
+    void hedge(Request& request, Context& context);
+
+    // Ends of sends.
+    void onAnswered(Request&, const ActiveTry&, const TryFinished&, Context&);
+    void onShed(Request&, const ActiveTry&, const TryFinished&, Context&);
+    void onNotSent(Request&, const ActiveTry&, const TryFinished&, Context&);
+    void onCrashed(Request&, const ActiveTry&, const TryFinished&, Context&);
+    void onBroken(Request&, const ActiveTry&, const TryFinished&, Context&);
+    void onTooLarge(Request&, const ActiveTry&, const TryFinished&, Context&);
+    void onTimedOut(Request&, const ActiveTry&, const TryFinished&, Context&);
+    void onCancelled(Request&, const ActiveTry&, const TryFinished&, Context&);
+
+    // Results.
+    void settle(Request& request, const KeyResult& result, std::optional<Millis> retryAfter, Context& context);
+    void refuse(Request& request, const Refusal& refusal, Context& context);
+    void answer(Request& request, const KeyResult& result, std::optional<Millis> retryAfter, Context& context);
+    void detach(Request& request, Context& context);
+    void eraseIfDone(RequestId id, Context& context);
+    void expireDeadline(Request& request, Context& context);
+
+    Request* find(RequestId id);
+    ServicePtr serviceOf(const Sheet& sheet, std::uint32_t index);
+
+    Parts m_parts;
+    SheetPtr m_sheet;
+    Router m_router;
+    std::unordered_map<ServiceName, ServicePtr> m_services;
+    std::unordered_map<RequestId, Request> m_requests;
+    std::unordered_map<TryId, RequestId> m_tries;
+    std::priority_queue<Timer, std::vector<Timer>, std::greater<>> m_timers;
+    std::uint64_t m_lastTry = 0;
+    std::vector<RequestId> m_paused;
+    bool m_keyedPaused = false;
+    bool m_open = false;
+    FlowCounters m_counters;
+};
+
+} // namespace cornelwind
--- /dev/null
+++ b/src/decision/selector.cpp
@@ -0,0 +1,115 @@
+#include "cornelwind/selector.h"
+
+#include <algorithm>
+#include <numeric>
+
+namespace cornelwind {
+namespace {
+
+    constexpr unsigned HALF_BITS = 32;
+
+    class RandomSelector final : public Selector {
+    public:
+        std::optional<std::size_t> select(std::span<const Candidate> candidates, std::uint64_t random) override
+        {
+            if (candidates.empty())
+                return std::nullopt;
+            return random % candidates.size();
+        }
+    };
+
+    class RoundRobinSelector final : public Selector {
+    public:
+        std::optional<std::size_t> select(std::span<const Candidate> candidates, std::uint64_t) override
+        {
+            if (candidates.empty())
+                return std::nullopt;
+            return m_next++ % candidates.size();
+        }
+
+    private:
+        std::size_t m_next = 0;
+    };
+
+    // Compares inFlight / slots without division.
+    bool lessLoaded(const Candidate& a, const Candidate& b)
+    {
+        return std::uint64_t { a.inFlight } * b.slots < std::uint64_t { b.inFlight } * a.slots;
+    }
+
+    class SlotShareSelector final : public Selector {
+    public:
+        std::optional<std::size_t> select(std::span<const Candidate> candidates, std::uint64_t random) override
+        {
+            if (candidates.empty())
+                return std::nullopt;
+            if (auto own = selectOwn(candidates, random))
+                return own;
+            const std::size_t first = (random & 0xffffffff) % candidates.size();
+            const std::size_t second = (random >> HALF_BITS) % candidates.size();
+            return lessLoaded(candidates[second], candidates[first]) ? second : first;
+        }
+
+    private:
+        static std::optional<std::size_t> selectOwn(std::span<const Candidate> candidates, std::uint64_t random)
+        {
+            const std::size_t offset = random % candidates.size();
+            std::optional<std::size_t> best;
+            std::uint32_t bestFree = 0;
+            for (std::size_t i = 0; i < candidates.size(); ++i) {
+                const std::size_t position = (offset + i) % candidates.size();
+                const Candidate& candidate = candidates[position];
+                if (candidate.ownSlots <= candidate.inFlight)
+                    continue;
+                const std::uint32_t free = candidate.ownSlots - candidate.inFlight;
+                if (free > bestFree) {
+                    best = position;
+                    bestFree = free;
+                }
+            }
+            return best;
+        }
+
+        // Two random candidates come from the halves of one 64-bit value.
+    };
+
+} // namespace
+
+std::unique_ptr<Selector> makeRandomSelector()
+{
+    return std::make_unique<RandomSelector>();
+}
+
+std::unique_ptr<Selector> makeRoundRobinSelector()
+{
+    return std::make_unique<RoundRobinSelector>();
+}
+
+std::unique_ptr<Selector> makeSlotShareSelector()
+{
+    return std::make_unique<SlotShareSelector>();
+}
+
+void shareSlots(std::span<Candidate> candidates, std::uint32_t rank, std::uint32_t instances)
+{
+    std::vector<std::size_t> order(candidates.size());
+    std::iota(order.begin(), order.end(), std::size_t { 0 });
+    std::sort(order.begin(), order.end(), [&](std::size_t a, std::size_t b) { return candidates[a].server < candidates[b].server; });
+    std::uint32_t mostSlots = 0;
+    for (Candidate& candidate : candidates) {
+        candidate.ownSlots = 0;
+        mostSlots = std::max(mostSlots, candidate.slots);
+    }
+    // Slot by slot rather than server by server, so that an instance's slots lie on different servers.
+    std::uint64_t position = 0;
+    for (std::uint32_t slot = 0; slot < mostSlots; ++slot) {
+        for (const std::size_t index : order) {
+            if (candidates[index].slots <= slot)
+                continue;
+            if (position++ % instances == rank)
+                ++candidates[index].ownSlots;
+        }
+    }
+}
+
+} // namespace cornelwind
--- /dev/null
+++ b/src/decision/server_pool.cpp
@@ -0,0 +1,157 @@
+#include "cornelwind/server_pool.h"
+
+#include <algorithm>
+
+namespace cornelwind {
+
+const char* toString(Standing standing)
+{
+    switch (standing) {
+    case Standing::Serving:
+        return "serving";
+    case Standing::Ejected:
+        return "ejected";
+    case Standing::Trial:
+        return "trial";
+    case Standing::Leaving:
+        return "leaving";
+    case Standing::Removed:
+        return "removed";
+    }
+    return "unknown";
+}
+
+ServerPool::ServerPool(std::unique_ptr<Selector> selector)
+    : m_selector(std::move(selector))
+{
+}
+
+void ServerPool::adopt(const Sheet& sheet, Time now)
+{
+    const bool first = m_services.empty();
+    m_services.clear();
+    std::unordered_map<ServerId, bool> listed;
+    for (const SheetService& service : sheet.services) {
+        auto& members = m_services.emplace_back();
+        for (const SheetServer& config : service.servers) {
+            const ServerId id = serverIdOf(config.name);
+            listed[id] = true;
+            Server& server = m_servers[id];
+            const bool isNew = server.id != id;
+            server.id = id;
+            server.config = config;
+            server.service = service.name;
+            if (server.standing == Standing::Removed)
+                server.standing = Standing::Serving;
+            // At the start of this process nothing says that a server is cold.
+            if (isNew && !first) {
+                server.rampStart = now;
+                server.rampEnd = now + service.coldStart;
+            }
+            members.push_back(&server);
+        }
+    }
+    for (auto& [id, server] : m_servers) {
+        if (!listed.contains(id))
+            server.standing = Standing::Removed;
+    }
+    std::erase_if(m_servers, [](const auto& row) { return row.second.standing == Standing::Removed && !row.second.inFlight; });
+    reshare();
+}
+
+void ServerPool::setInstances(std::uint32_t rank, std::uint32_t instances)
+{
+    if (rank == m_rank && instances == m_instances)
+        return;
+    m_rank = rank;
+    m_instances = std::max<std::uint32_t>(instances, 1);
+    reshare();
+}
+
+Server* ServerPool::pick(std::uint32_t service, const PickContext& context)
+{
+    m_candidates.clear();
+    for (const Server* server : m_services[service]) {
+        if (accepts(*server, context))
+            m_candidates.push_back({ server->id, server->inFlight, server->ownSlots, server->config.slots.value() });
+    }
+    const auto position = m_selector->select(m_candidates, context.random);
+    return position ? find(m_candidates[*position].server) : nullptr;
+}
+
+bool ServerPool::hasUsable(std::uint32_t service) const
+{
+    const auto& members = m_services[service];
+    return std::any_of(members.begin(), members.end(), [](const Server* server) {
+        return (server->standing == Standing::Serving || server->standing == Standing::Trial) && !server->avoided;
+    });
+}
+
+Server* ServerPool::find(ServerId id)
+{
+    const auto found = m_servers.find(id);
+    return found == m_servers.end() ? nullptr : &found->second;
+}
+
+const Server* ServerPool::find(ServerId id) const
+{
+    const auto found = m_servers.find(id);
+    return found == m_servers.end() ? nullptr : &found->second;
+}
+
+void ServerPool::begin(Server& server)
+{
+    ++server.inFlight;
+}
+
+void ServerPool::end(ServerId id)
+{
+    Server* server = find(id);
+    if (!server || !server->inFlight)
+        return;
+    --server->inFlight;
+    if (server->standing == Standing::Removed && !server->inFlight)
+        m_servers.erase(id);
+}
+
+std::span<Server* const> ServerPool::servers(std::uint32_t service) const
+{
+    return m_services[service];
+}
+
+bool ServerPool::accepts(const Server& server, const PickContext& context) const
+{
+    const bool standingAllows = server.standing == Standing::Serving || (server.standing == Standing::Trial && context.trialAllowed);
+    if (!standingAllows || server.avoided || server.busyUntil > context.now)
+        return false;
+    if (server.inFlight >= limit(server, context.now))
+        return false;
+    return std::find(context.excluded.begin(), context.excluded.end(), server.id) == context.excluded.end();
+}
+
+std::uint32_t ServerPool::limit(const Server& server, Time now) const
+{
+    if (server.standing == Standing::Trial)
+        return 1;
+    const std::uint32_t connectionShare = std::max<std::uint32_t>(server.config.connections / m_instances, 1);
+    const std::uint32_t full = std::min(server.config.slots.value(), connectionShare);
+    if (now >= server.rampEnd)
+        return full;
+    const auto done = (now - server.rampStart).count() * full;
+    return std::max<std::uint32_t>(static_cast<std::uint32_t>(done / (server.rampEnd - server.rampStart).count()), 1);
+}
+
+void ServerPool::reshare()
+{
+    std::vector<Candidate> all;
+    for (const auto& members : m_services) {
+        all.clear();
+        for (const Server* server : members)
+            all.push_back({ server->id, 0, 0, server->config.slots.value() });
+        shareSlots(all, m_rank, m_instances);
+        for (std::size_t i = 0; i < members.size(); ++i)
+            members[i]->ownSlots = all[i].ownSlots;
+    }
+}
+
+} // namespace cornelwind
--- /dev/null
+++ b/src/decision/sheet_keeper.cpp
@@ -0,0 +1,52 @@
+#include "sheet_keeper.h"
+
+#include <xxhash.h>
+
+#include <memory>
+#include <utility>
+
+namespace cornelwind {
+
+bool SheetKeeper::offer(std::string_view text, const std::string& source, Context& context)
+{
+    const SheetHash hash { XXH3_64bits(text.data(), text.size()) };
+    if ((m_current && m_current->hash == hash) || m_lastRefused == hash)
+        return false;
+    Reasons reasons;
+    auto sheet = readSheet(text, reasons);
+    if (!sheet) {
+        m_lastRefused = hash;
+        context.report(DecisionKind::SheetRefused, "sheet", "from " + source, format(reasons.front(), "sheet"));
+        return false;
+    }
+    if (m_current && sheet->version <= m_current->version) {
+        m_lastRefused = hash;
+        const bool older = sheet->version < m_current->version;
+        refuse(older ? ErrorKind::OlderSheet : ErrorKind::ConflictingSheet, source, std::to_string(sheet->version.value()), context);
+        return false;
+    }
+    m_current = std::make_shared<const Sheet>(std::move(*sheet));
+    m_adoptedAt = context.now();
+    context.report(DecisionKind::SheetAdopted, "sheet", "version " + std::to_string(m_current->version.value()) + " from " + source);
+    return true;
+}
+
+bool SheetKeeper::wants(SheetVersion version, SheetHash hash, const std::string& source, Context& context)
+{
+    if (!version.value() || hash == m_lastRefused)
+        return false;
+    if (!m_current || version > m_current->version)
+        return true;
+    if (version == m_current->version && hash != m_current->hash) {
+        m_lastRefused = hash;
+        refuse(ErrorKind::ConflictingSheet, source, std::to_string(version.value()), context);
+    }
+    return false;
+}
+
+void SheetKeeper::refuse(ErrorKind kind, const std::string& source, const std::string& detail, Context& context)
+{
+    context.report(DecisionKind::SheetRefused, "sheet", "from " + source, format(Reason { kind, 0, "version " + detail }, "sheet"));
+}
+
+} // namespace cornelwind
--- /dev/null
+++ b/src/shell/commands.cpp
@@ -0,0 +1,228 @@
+#include "commands.h"
+
+#include "cornelwind/error.h"
+#include "cornelwind/settings.h"
+#include "cornelwind/sheet.h"
+#include "http_client.h"
+#include "instance.h"
+#include "log.h"
+
+#include <array>
+#include <boost/json.hpp>
+#include <boost/url.hpp>
+
+#include <fstream>
+#include <iostream>
+#include <sstream>
+
+namespace cornelwind {
+namespace {
+
+    namespace json = boost::json;
+
+    constexpr Duration ADMIN_TIME = std::chrono::seconds(5);
+
+    ExitCode fail(ExitCode code, const Reason& reason)
+    {
+        std::cerr << format(reason, "cornelwind") << "\n";
+        return code;
+    }
+
+    std::optional<std::string> readFile(const std::string& path, Reasons& reasons)
+    {
+        std::ifstream file(path, std::ios::binary);
+        std::ostringstream text;
+        if (file && text << file.rdbuf())
+            return text.str();
+        reasons.push_back({ ErrorKind::FileUnreadable, 0, path });
+        return std::nullopt;
+    }
+
+    void print(const Reasons& reasons, const std::string& path)
+    {
+        for (const Reason& reason : reasons)
+            std::cerr << format(reason, path) << "\n";
+    }
+
+    std::optional<Settings> loadSettings(const std::string& path)
+    {
+        Reasons reasons;
+        const auto text = readFile(path, reasons);
+        auto settings = text ? readSettings(*text, reasons) : std::nullopt;
+        print(reasons, path);
+        return settings;
+    }
+
+    bool checkSheet(const std::string& path)
+    {
+        Reasons reasons;
+        const auto text = readFile(path, reasons);
+        const auto sheet = text ? readSheet(*text, reasons) : std::nullopt;
+        print(reasons, path);
+        if (sheet)
+            std::cout << path << ": version " << sheet->version.value() << ", " << sheet->services.size() << " services, " << sheet->rules.size() << " rules\n";
+        return sheet.has_value();
+    }
+
+    ExitCode serve(const Arguments& arguments)
+    {
+        if (!arguments.settings)
+            return fail(ExitCode::Usage, { ErrorKind::Usage, 0, "serve needs --settings" });
+        auto settings = loadSettings(*arguments.settings);
+        if (!settings)
+            return ExitCode::Faulty;
+        startLog(settings->name.value(), settings->logLevel);
+        Instance instance(std::move(*settings));
+        Reason reason;
+        if (!instance.start(reason))
+            return fail(ExitCode::ListenFailed, reason);
+        instance.run();
+        return ExitCode::Ok;
+    }
+
+    ExitCode check(const Arguments& arguments)
+    {
+        if (!arguments.settings && !arguments.sheet)
+            return fail(ExitCode::Usage, { ErrorKind::Usage, 0, "check needs --settings or --sheet" });
+        bool ok = true;
+        if (arguments.settings) {
+            const bool good = loadSettings(*arguments.settings).has_value();
+            if (good)
+                std::cout << *arguments.settings << ": ok\n";
+            ok = good;
+        }
+        if (arguments.sheet)
+            ok = checkSheet(*arguments.sheet) && ok;
+        return ok ? ExitCode::Ok : ExitCode::Faulty;
+    }
+
+    std::optional<Endpoint> adminOf(const Arguments& arguments)
+    {
+        if (arguments.admin)
+            return parseEndpoint(*arguments.admin);
+        if (!arguments.settings)
+            return std::nullopt;
+        const auto settings = loadSettings(*arguments.settings);
+        return settings ? std::optional(settings->admin) : std::nullopt;
+    }
+
+    AnswerPtr askAdmin(const Endpoint& admin, const std::string& method, const std::string& target)
+    {
+        boost::asio::io_context io;
+        HttpClient client(io);
+        HttpCall call;
+        call.address = admin;
+        call.method = method;
+        call.target = target;
+        call.deadline = steadyNow() + ADMIN_TIME;
+        call.maxAnswer = 16 * 1024 * 1024;
+        AnswerPtr answer;
+        client.start(std::move(call), [&](const HttpResult& result) { answer = result.answer; });
+        io.run();
+        return answer;
+    }
+
+    std::string textOf(const json::object& object, const char* key)
+    {
+        const json::value& value = object.at(key);
+        return value.is_string() ? std::string(value.get_string()) : json::serialize(value);
+    }
+
+    void printServers(const json::object& body)
+    {
+        for (const json::value& entry : body.at("servers").as_array()) {
+            const json::object& server = entry.as_object();
+            std::cout << "server " << textOf(server, "name") << " of " << textOf(server, "service") << ": " << textOf(server, "standing")
+                      << ", " << textOf(server, "in_flight") << " of " << textOf(server, "slots") << " slots here, score "
+                      << textOf(server, "score") << " of " << textOf(server, "threshold") << "\n";
+        }
+    }
+
+    void printStatus(const json::object& body)
+    {
+        for (const auto& [key, value] : body) {
+            if (!value.is_array())
+                std::cout << key << ": " << textOf(body, std::string(key).c_str()) << "\n";
+        }
+        printServers(body);
+        for (const json::value& entry : body.at("members").as_array()) {
+            const json::object& member = entry.as_object();
+            std::cout << "member " << textOf(member, "name") << " in " << textOf(member, "zone") << ": " << textOf(member, "state") << "\n";
+        }
+    }
+
+    void printExplanation(const json::object& body)
+    {
+        printServers(body);
+        for (const json::value& entry : body.at("decisions").as_array()) {
+            const json::object& decision = entry.as_object();
+            std::cout << textOf(decision, "age_ms") << " ms ago: " << textOf(decision, "decision") << " " << textOf(decision, "subject") << ": "
+                      << textOf(decision, "evidence");
+            if (!decision.at("bound").as_string().empty())
+                std::cout << "; " << textOf(decision, "bound");
+            std::cout << "\n";
+        }
+    }
+
+    void printText(const std::string& body)
+    {
+        std::cout << body;
+    }
+
+    template <void (*printObject)(const json::object&)>
+    void printJson(const std::string& body)
+    {
+        json::error_code error;
+        const json::value value = json::parse(body, error);
+        if (!error && value.is_object())
+            printObject(value.get_object());
+        else
+            printText(body);
+    }
+
+    struct AdminCommand {
+        const char* name;
+        const char* method;
+        const char* path;
+        void (*print)(const std::string& body);
+    };
+
+    constexpr std::array adminCommands {
+        AdminCommand { "status", "GET", "/status", &printJson<&printStatus> },
+        AdminCommand { "explain", "GET", "/explain", &printJson<&printExplanation> },
+        AdminCommand { "metrics", "GET", "/metrics", &printText },
+        AdminCommand { "drain", "POST", "/drain", &printText },
+    };
+
+    ExitCode administer(const AdminCommand& command, const Arguments& arguments)
+    {
+        const auto admin = adminOf(arguments);
+        if (!admin)
+            return fail(ExitCode::Usage, { ErrorKind::Usage, 0, std::string(command.name) + " needs --admin HOST:PORT or --settings" });
+        boost::urls::url target;
+        target.set_path(command.path);
+        if (!arguments.subject.empty())
+            target.params().append({ "subject", arguments.subject });
+        const AnswerPtr answer = askAdmin(*admin, command.method, std::string(target.buffer()));
+        if (!answer)
+            return fail(ExitCode::Unreachable, { ErrorKind::AdminUnreachable, 0, toString(*admin) });
+        command.print(answer->body);
+        return ExitCode::Ok;
+    }
+
+} // namespace
+
+ExitCode runCommand(const Arguments& arguments)
+{
+    if (arguments.command == "serve")
+        return serve(arguments);
+    if (arguments.command == "check")
+        return check(arguments);
+    for (const AdminCommand& command : adminCommands) {
+        if (arguments.command == command.name)
+            return administer(command, arguments);
+    }
+    return fail(ExitCode::Usage, { ErrorKind::Usage, 0, "command '" + escapeForLog(arguments.command) + "'" });
+}
+
+} // namespace cornelwind
--- /dev/null
+++ b/src/shell/http_client.cpp
@@ -0,0 +1,307 @@
+#include "http_client.h"
+
+#include <boost/asio/connect.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/string_body.hpp>
+
+#include <algorithm>
+#include <array>
+#include <map>
+#include <optional>
+#include <unordered_map>
+#include <utility>
+
+namespace cornelwind {
+namespace {
+
+    namespace asio = boost::asio;
+    namespace beast = boost::beast;
+    namespace http = beast::http;
+    using asio::ip::tcp;
+    using ErrorCode = boost::system::error_code;
+
+    constexpr std::size_t MAX_IDLE_PER_ADDRESS = 8;
+    constexpr Duration MAX_IDLE_TIME = std::chrono::seconds(20);
+    constexpr std::size_t MAX_ANSWER_HEAD = 64 * 1024;
+
+    struct IdleConnection {
+        tcp::socket socket;
+        Time since;
+    };
+
+    // An idle connection must be silent: data or an end means that it cannot carry a request.
+    bool isSilent(tcp::socket& socket)
+    {
+        std::array<char, 1> byte {};
+        ErrorCode error;
+        socket.non_blocking(true, error);
+        socket.receive(asio::buffer(byte), tcp::socket::message_peek, error);
+        return error == asio::error::would_block;
+    }
+
+    std::string serializeHead(const HttpCall& call)
+    {
+        std::string head = call.method + " " + call.target + " HTTP/1.1\r\n";
+        bool hasHost = false;
+        for (const Header& header : call.headers) {
+            head += header.name + ": " + header.value + "\r\n";
+            hasHost = hasHost || beast::iequals(header.name, "Host");
+        }
+        if (!hasHost)
+            head += "Host: " + toString(call.address) + "\r\n";
+        if (!call.body.empty() || (call.method != "GET" && call.method != "HEAD"))
+            head += "Content-Length: " + std::to_string(call.body.size()) + "\r\n";
+        return head + "\r\n";
+    }
+
+} // namespace
+
+Time steadyNow()
+{
+    return std::chrono::time_point_cast<Duration>(std::chrono::steady_clock::now());
+}
+
+bool isHopByHop(const std::string& name)
+{
+    static constexpr std::array names { "Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization",
+        "TE", "Trailer", "Transfer-Encoding", "Upgrade", "Content-Length", "Expect" };
+    return std::any_of(names.begin(), names.end(), [&](const char* known) { return beast::iequals(name, known); });
+}
+
+class HttpClient::Pool {
+public:
+    std::optional<tcp::socket> take(const Endpoint& address)
+    {
+        auto& idle = m_idle[toString(address)];
+        while (!idle.empty()) {
+            IdleConnection connection = std::move(idle.back());
+            idle.pop_back();
+            if (steadyNow() - connection.since < MAX_IDLE_TIME && isSilent(connection.socket))
+                return std::move(connection.socket);
+        }
+        return std::nullopt;
+    }
+
+    void give(const Endpoint& address, tcp::socket socket)
+    {
+        auto& idle = m_idle[toString(address)];
+        if (idle.size() < MAX_IDLE_PER_ADDRESS)
+            idle.push_back({ std::move(socket), steadyNow() });
+    }
+
+    void closeExpired()
+    {
+        for (auto& [address, idle] : m_idle)
+            std::erase_if(idle, [](const IdleConnection& connection) { return steadyNow() - connection.since >= MAX_IDLE_TIME; });
+        std::erase_if(m_idle, [](const auto& row) { return row.second.empty(); });
+    }
+
+    std::unordered_map<CallId, std::weak_ptr<Exchange>> running;
+
+private:
+    std::map<std::string, std::vector<IdleConnection>> m_idle;
+};
+
+/// One call from connection to whole answer.
+class HttpClient::Exchange : public std::enable_shared_from_this<Exchange> {
+public:
+    Exchange(asio::io_context& io, std::shared_ptr<Pool> pool, CallId id, HttpCall call, CallHandler handler)
+        : m_socket(io)
+        , m_timer(io)
+        , m_pool(std::move(pool))
+        , m_id(id)
+        , m_call(std::move(call))
+        , m_handler(std::move(handler))
+    {
+    }
+
+    void start()
+    {
+        m_timer.expires_at(m_call.deadline);
+        m_timer.async_wait([self = shared_from_this()](ErrorCode error) {
+            if (!error)
+                self->finish(self->m_wrote ? TryResult::TimedOut : TryResult::NotSent);
+        });
+        if (m_call.reuse) {
+            if (auto idle = m_pool->take(m_call.address)) {
+                m_socket = std::move(*idle);
+                m_reused = true;
+                return write();
+            }
+        }
+        connect();
+    }
+
+    void cancel() { finish(m_wrote ? TryResult::Cancelled : TryResult::NotSent); }
+
+private:
+    void connect()
+    {
+        ErrorCode error;
+        const auto host = asio::ip::make_address(m_call.address.host, error);
+        if (error)
+            return finish(TryResult::NotSent);
+        m_socket.async_connect({ host, m_call.address.port }, [self = shared_from_this()](ErrorCode connectError) {
+            if (connectError)
+                return self->finish(TryResult::NotSent);
+            ErrorCode ignored;
+            self->m_socket.set_option(tcp::no_delay(true), ignored);
+            self->write();
+        });
+    }
+
+    void write()
+    {
+        // A process that was suspended must not send late: the time is read in the step that writes.
+        if (m_done || steadyNow() >= m_call.deadline)
+            return finish(TryResult::NotSent);
+        m_wrote = true;
+        m_head = serializeHead(m_call);
+        const std::array<asio::const_buffer, 2> buffers { asio::buffer(m_head), asio::buffer(m_call.body) };
+        asio::async_write(m_socket, buffers, [self = shared_from_this()](ErrorCode error, std::size_t written) {
+            if (!error)
+                return self->readHead();
+            self->m_wrote = written > 0;
+            self->finish(self->m_wrote ? self->lostResult() : TryResult::NotSent);
+        });
+    }
+
+    void readHead()
+    {
+        m_parser.emplace();
+        m_parser->header_limit(MAX_ANSWER_HEAD);
+        m_parser->body_limit(m_call.maxAnswer);
+        if (m_call.method == "HEAD")
+            m_parser->skip(true);
+        http::async_read_header(m_socket, m_buffer, *m_parser, [self = shared_from_this()](ErrorCode error, std::size_t read) {
+            self->m_anyByte = self->m_anyByte || read || self->m_buffer.size();
+            if (error)
+                return self->finish(self->failure(error));
+            if (self->m_parser->get().result_int() < 200 && self->m_parser->get().result_int() != 101)
+                return self->readHead();
+            self->readBody();
+        });
+    }
+
+    void readBody()
+    {
+        // Without a stated length a cut answer looks like a whole one.
+        if (m_parser->need_eof())
+            return finish(TryResult::Broken);
+        http::async_read(m_socket, m_buffer, *m_parser, [self = shared_from_this()](ErrorCode error, std::size_t) {
+            if (error)
+                return self->finish(self->failure(error));
+            self->complete();
+        });
+    }
+
+    void complete()
+    {
+        auto answer = std::make_shared<Answer>();
+        auto message = m_parser->release();
+        answer->status = static_cast<std::uint16_t>(message.result_int());
+        for (const auto& field : message) {
+            const std::string name(field.name_string());
+            if (!m_call.echoHeader.empty() && beast::iequals(name, m_call.echoHeader)) {
+                if (field.value() != m_call.echoValue)
+                    return finish(TryResult::Broken);
+                continue;
+            }
+            if (!isHopByHop(name))
+                answer->headers.push_back({ name, std::string(field.value()) });
+        }
+        answer->body = std::move(message.body());
+        m_answer = std::move(answer);
+        m_reusable = message.keep_alive() && !m_buffer.size();
+        finish(TryResult::Answered);
+    }
+
+    TryResult lostResult() const
+    {
+        if (m_anyByte)
+            return TryResult::Broken;
+        return m_reused ? TryResult::StaleConnection : TryResult::Crashed;
+    }
+
+    TryResult failure(ErrorCode error) const
+    {
+        if (error == http::error::body_limit)
+            return TryResult::TooLarge;
+        if (error == http::error::end_of_stream || error == http::error::partial_message || error.category() == asio::error::get_system_category())
+            return lostResult();
+        return error == asio::error::eof ? lostResult() : TryResult::Broken;
+    }
+
+    void finish(TryResult result)
+    {
+        if (std::exchange(m_done, true))
+            return;
+        m_timer.cancel();
+        m_pool->running.erase(m_id);
+        if (m_reusable)
+            m_pool->give(m_call.address, std::move(m_socket));
+        else {
+            ErrorCode ignored;
+            m_socket.close(ignored);
+        }
+        asio::post(m_timer.get_executor(), [self = shared_from_this(), result] {
+            const CallHandler handler = std::exchange(self->m_handler, nullptr);
+            handler({ result, self->m_answer });
+        });
+    }
+
+    tcp::socket m_socket;
+    asio::steady_timer m_timer;
+    std::shared_ptr<Pool> m_pool;
+    CallId m_id;
+    HttpCall m_call;
+    CallHandler m_handler;
+    std::string m_head;
+    beast::flat_buffer m_buffer;
+    std::optional<http::response_parser<http::string_body>> m_parser;
+    AnswerPtr m_answer;
+    bool m_reused = false;
+    bool m_wrote = false;
+    bool m_anyByte = false;
+    bool m_reusable = false;
+    bool m_done = false;
+};
+
+HttpClient::HttpClient(asio::io_context& io)
+    : m_io(io)
+    , m_pool(std::make_shared<Pool>())
+{
+}
+
+HttpClient::~HttpClient() = default;
+
+CallId HttpClient::start(HttpCall call, CallHandler handler)
+{
+    const CallId id = ++m_last;
+    auto exchange = std::make_shared<Exchange>(m_io, m_pool, id, std::move(call), std::move(handler));
+    m_pool->running.emplace(id, exchange);
+    exchange->start();
+    return id;
+}
+
+void HttpClient::cancel(CallId id)
+{
+    const auto found = m_pool->running.find(id);
+    if (found == m_pool->running.end())
+        return;
+    if (auto exchange = found->second.lock())
+        exchange->cancel();
+}
+
+void HttpClient::closeIdle()
+{
+    m_pool->closeExpired();
+}
+
+} // namespace cornelwind
--- /dev/null
+++ b/src/shell/http_server.cpp
@@ -0,0 +1,424 @@
+#include "http_server.h"
+
+#include "http_client.h"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/status.hpp>
+#include <boost/beast/http/string_body.hpp>
+
+#include <array>
+#include <unordered_set>
+#include <utility>
+
+namespace cornelwind {
+namespace {
+
+    namespace asio = boost::asio;
+    namespace beast = boost::beast;
+    namespace http = beast::http;
+    using asio::ip::tcp;
+    using ErrorCode = boost::system::error_code;
+    using Parser = http::request_parser<http::string_body>;
+
+    constexpr Millis IDLE_TIME { 60000 };
+    constexpr std::size_t UNLIMITED_BODY = 64 * 1024 * 1024;
+    constexpr std::string_view CONTINUE = "HTTP/1.1 100 Continue\r\n\r\n";
+
+    std::string serialize(const Answer& answer, bool withBody, bool keepAlive)
+    {
+        const auto reason = http::obsolete_reason(static_cast<http::status>(answer.status));
+        std::string text = "HTTP/1.1 " + std::to_string(answer.status) + " " + std::string(reason) + "\r\n";
+        for (const Header& header : answer.headers)
+            text += header.name + ": " + header.value + "\r\n";
+        const bool noBodyStatus = answer.status == 204 || answer.status == 304;
+        if (!noBodyStatus)
+            text += "Content-Length: " + std::to_string(answer.body.size()) + "\r\n";
+        text += keepAlive ? "\r\n" : "Connection: close\r\n\r\n";
+        if (withBody && !noBodyStatus)
+            text += answer.body;
+        return text;
+    }
+
+    // What the parser accepts but two implementations could read in two ways.
+    bool isAmbiguous(const Parser::value_type& request)
+    {
+        const auto encodings = request.count(http::field::transfer_encoding);
+        if (encodings > 1 || request.count(http::field::content_length) > 1 || request.count(http::field::host) > 1)
+            return true;
+        if (!encodings)
+            return false;
+        const bool chunked = beast::iequals(request[http::field::transfer_encoding], "chunked");
+        return !chunked || request.version() < 11 || request.count(http::field::content_length);
+    }
+
+    ErrorKind errorKindOf(ErrorCode error)
+    {
+        if (error == http::error::header_limit || error == http::error::buffer_overflow)
+            return ErrorKind::HeadTooLarge;
+        if (error == http::error::body_limit)
+            return ErrorKind::BodyTooLarge;
+        return ErrorKind::MalformedRequest;
+    }
+
+} // namespace
+
+const std::string* HttpHead::find(const char* name) const
+{
+    for (const Header& header : headers) {
+        if (beast::iequals(header.name, name))
+            return &header.value;
+    }
+    return nullptr;
+}
+
+class HttpServer::Listener : public std::enable_shared_from_this<Listener> {
+public:
+    Listener(asio::io_context& io, HttpHandler& handler, HttpLimits limits)
+        : handler(handler)
+        , limits(limits)
+        , m_io(io)
+        , m_acceptor(io)
+    {
+    }
+
+    std::optional<Endpoint> listen(const Endpoint& address, Reason& reason)
+    {
+        ErrorCode error;
+        const auto host = asio::ip::make_address(address.host, error);
+        const tcp::endpoint endpoint(host, address.port);
+        if (!error)
+            m_acceptor.open(endpoint.protocol(), error);
+        if (!error)
+            m_acceptor.set_option(asio::socket_base::reuse_address(true), error);
+        if (!error)
+            m_acceptor.bind(endpoint, error);
+        if (!error)
+            m_acceptor.listen(asio::socket_base::max_listen_connections, error);
+        if (error) {
+            reason = { ErrorKind::ListenFailed, 0, toString(address) + ": " + error.message() };
+            return std::nullopt;
+        }
+        accept();
+        return Endpoint { address.host, m_acceptor.local_endpoint().port() };
+    }
+
+    void accept();
+    void closeIdle();
+    void close()
+    {
+        ErrorCode ignored;
+        m_acceptor.close(ignored);
+    }
+
+    HttpHandler& handler;
+    const HttpLimits limits;
+    std::unordered_set<Session*> sessions;
+    bool draining = false;
+
+private:
+    asio::io_context& m_io;
+    tcp::acceptor m_acceptor;
+};
+
+/// One connection. Requests on it are handled one after the other.
+class HttpServer::Session final : public HttpExchange, public std::enable_shared_from_this<Session> {
+public:
+    Session(tcp::socket socket, std::shared_ptr<Listener> listener)
+        : m_socket(std::move(socket))
+        , m_timer(m_socket.get_executor())
+        , m_listener(std::move(listener))
+    {
+        m_listener->sessions.insert(this);
+    }
+
+    ~Session() override { m_listener->sessions.erase(this); }
+    Session(const Session&) = delete;
+    Session& operator=(const Session&) = delete;
+
+    void start()
+    {
+        ErrorCode ignored;
+        m_socket.set_option(tcp::no_delay(true), ignored);
+        if (m_listener->sessions.size() > m_listener->limits.connections) {
+            m_phase = Phase::Waiting;
+            m_close = true;
+            return respond(m_listener->handler.refusal(ErrorKind::TooManyConnections));
+        }
+        awaitRequest();
+    }
+
+    void closeIfIdle()
+    {
+        if (m_phase == Phase::Idle)
+            closeNow();
+    }
+
+    const HttpHead& head() const override { return m_head; }
+
+    void readBody(std::size_t limit) override
+    {
+        const auto length = m_parser->content_length();
+        if (length && *length > limit)
+            return failBody(ErrorKind::BodyTooLarge);
+        m_parser->body_limit(limit);
+        const auto& request = m_parser->get();
+        if (beast::iequals(request[http::field::expect], "100-continue") && !m_parser->is_done())
+            return sendContinue();
+        receiveBody();
+    }
+
+    void respond(const Answer& answer) override
+    {
+        if (m_phase != Phase::Waiting)
+            return;
+        m_phase = Phase::Responding;
+        const bool bodyRead = m_parser && m_parser->is_done();
+        const bool keepAlive = bodyRead && m_keepAlive && !m_close && !m_listener->draining;
+        m_out = serialize(answer, m_head.method != "HEAD", keepAlive);
+        asio::async_write(m_socket, asio::buffer(m_out), [self = shared_from_this(), keepAlive](ErrorCode error, std::size_t) {
+            if (error || !keepAlive)
+                return self->lingerAndClose();
+            self->awaitRequest();
+        });
+    }
+
+private:
+    enum class Phase {
+        Idle,
+        Receiving,
+        Waiting,
+        Responding,
+        Closed,
+    };
+
+    void awaitRequest()
+    {
+        m_phase = Phase::Idle;
+        if (m_listener->draining)
+            return closeNow();
+        if (m_buffer.size())
+            return receiveHead();
+        arm(IDLE_TIME, &Session::closeNow);
+        m_socket.async_wait(tcp::socket::wait_read, [self = shared_from_this()](ErrorCode error) {
+            if (!error && self->m_phase == Phase::Idle)
+                self->receiveHead();
+        });
+    }
+
+    void receiveHead()
+    {
+        m_phase = Phase::Receiving;
+        m_watching = false;
+        m_parser.emplace();
+        m_parser->header_limit(static_cast<std::uint32_t>(m_listener->limits.head));
+        m_parser->body_limit(UNLIMITED_BODY);
+        arm(m_listener->limits.receiveTime, &Session::onSlowHead);
+        http::async_read_header(m_socket, m_buffer, *m_parser, [self = shared_from_this()](ErrorCode error, std::size_t) { self->onHeadRead(error); });
+    }
+
+    void onHeadRead(ErrorCode error)
+    {
+        if (m_phase != Phase::Receiving)
+            return;
+        if (error == http::error::end_of_stream || error == asio::error::operation_aborted || error == asio::error::connection_reset)
+            return closeNow();
+        if (error)
+            return failHead(errorKindOf(error));
+        const auto& request = m_parser->get();
+        if (isAmbiguous(request))
+            return failHead(ErrorKind::MalformedRequest);
+        m_keepAlive = request.keep_alive();
+        m_head = {};
+        m_head.method = std::string(request.method_string());
+        m_head.target = std::string(request.target());
+        for (const auto& field : request)
+            m_head.headers.push_back({ std::string(field.name_string()), std::string(field.value()) });
+        m_phase = Phase::Waiting;
+        disarm();
+        m_listener->handler.onHead(shared_from_this());
+    }
+
+    void onSlowHead() { failHead(ErrorKind::SlowSender); }
+
+    void failHead(ErrorKind error)
+    {
+        m_phase = Phase::Waiting;
+        m_close = true;
+        respond(m_listener->handler.refusal(error));
+    }
+
+    void failBody(ErrorKind error)
+    {
+        m_close = true;
+        m_listener->handler.onReceiveFailed(shared_from_this(), error);
+    }
+
+    void sendContinue()
+    {
+        asio::async_write(m_socket, asio::buffer(CONTINUE), [self = shared_from_this()](ErrorCode error, std::size_t) {
+            if (!error)
+                self->receiveBody();
+        });
+    }
+
+    void receiveBody()
+    {
+        arm(m_listener->limits.receiveTime, &Session::onSlowBody);
+        http::async_read(m_socket, m_buffer, *m_parser, [self = shared_from_this()](ErrorCode error, std::size_t) { self->onBodyRead(error); });
+    }
+
+    void onSlowBody() { failBody(ErrorKind::SlowSender); }
+
+    void onBodyRead(ErrorCode error)
+    {
+        if (m_phase != Phase::Waiting || m_close)
+            return;
+        disarm();
+        if (error == http::error::partial_message || error.category() == asio::error::get_system_category()) {
+            m_close = true;
+            return m_listener->handler.onGone(shared_from_this());
+        }
+        if (error)
+            return failBody(errorKindOf(error));
+        watchForEnd();
+        m_listener->handler.onBody(shared_from_this(), std::move(m_parser->get().body()));
+    }
+
+    // Notices a client that goes away while its request is in progress.
+    void watchForEnd()
+    {
+        if (m_buffer.size())
+            return;
+        m_watching = true;
+        m_socket.async_wait(tcp::socket::wait_read, [self = shared_from_this()](ErrorCode error) {
+            if (error || !self->m_watching || self->m_phase != Phase::Waiting)
+                return;
+            std::array<char, 1> byte {};
+            ErrorCode peekError;
+            self->m_socket.non_blocking(true, peekError);
+            self->m_socket.receive(asio::buffer(byte), tcp::socket::message_peek, peekError);
+            if (!peekError || peekError == asio::error::would_block)
+                return;
+            self->m_listener->handler.onGone(self);
+            self->closeNow();
+        });
+    }
+
+    void arm(Millis time, void (Session::*onExpired)())
+    {
+        m_timer.expires_after(time);
+        // A wait that has expired can no longer be cancelled, but its number tells that it is outdated.
+        m_timer.async_wait([weak = weak_from_this(), onExpired, wait = ++m_wait](ErrorCode error) {
+            const auto self = weak.lock();
+            if (!error && self && self->m_wait == wait)
+                ((*self).*onExpired)();
+        });
+    }
+
+    void disarm()
+    {
+        ++m_wait;
+        m_timer.cancel();
+    }
+
+    // Reads on for a moment, so that unread input does not make the kernel discard the answer.
+    void lingerAndClose()
+    {
+        ErrorCode ignored;
+        m_phase = Phase::Closed;
+        m_socket.shutdown(tcp::socket::shutdown_send, ignored);
+        arm(Millis { 1000 }, &Session::closeNow);
+        discard();
+    }
+
+    void discard()
+    {
+        m_socket.async_receive(asio::buffer(m_discarded), [self = shared_from_this()](ErrorCode error, std::size_t) {
+            if (error)
+                return self->closeNow();
+            self->discard();
+        });
+    }
+
+    void closeNow()
+    {
+        m_phase = Phase::Closed;
+        ErrorCode ignored;
+        disarm();
+        m_socket.close(ignored);
+    }
+
+    tcp::socket m_socket;
+    asio::steady_timer m_timer;
+    std::shared_ptr<Listener> m_listener;
+    beast::flat_buffer m_buffer;
+    std::optional<Parser> m_parser;
+    HttpHead m_head;
+    std::string m_out;
+    std::array<char, 4096> m_discarded {};
+    Phase m_phase = Phase::Idle;
+    std::uint64_t m_wait = 0;
+    bool m_keepAlive = true;
+    bool m_close = false;
+    bool m_watching = false;
+};
+
+void HttpServer::Listener::accept()
+{
+    m_acceptor.async_accept([self = shared_from_this()](ErrorCode error, tcp::socket socket) {
+        if (error == asio::error::operation_aborted || !self->m_acceptor.is_open())
+            return;
+        if (!error)
+            std::make_shared<Session>(std::move(socket), self)->start();
+        self->accept();
+    });
+}
+
+void HttpServer::Listener::closeIdle()
+{
+    const std::vector<Session*> all(sessions.begin(), sessions.end());
+    for (Session* session : all)
+        session->closeIfIdle();
+}
+
+HttpServer::HttpServer(asio::io_context& io, HttpHandler& handler, HttpLimits limits)
+    : m_listener(std::make_shared<Listener>(io, handler, limits))
+{
+}
+
+HttpServer::~HttpServer()
+{
+    close();
+}
+
+std::optional<Endpoint> HttpServer::listen(const Endpoint& address, Reason& reason)
+{
+    return m_listener->listen(address, reason);
+}
+
+void HttpServer::drain()
+{
+    m_listener->draining = true;
+}
+
+void HttpServer::closeIdle()
+{
+    m_listener->closeIdle();
+}
+
+void HttpServer::close()
+{
+    m_listener->close();
+}
+
+std::size_t HttpServer::connections() const
+{
+    return m_listener->sessions.size();
+}
+
+} // namespace cornelwind
--- /dev/null
+++ b/src/shell/instance.cpp
@@ -0,0 +1,253 @@
+#include "instance.h"
+
+#include "entropy.h"
+#include "log.h"
+
+#include <algorithm>
+#include <csignal>
+#include <utility>
+
+namespace cornelwind {
+namespace {
+
+    constexpr Millis TICK_INTERVAL { 10 };
+    constexpr Duration MAINTENANCE_INTERVAL = std::chrono::milliseconds(500);
+    constexpr Duration CLOSE_TIME = std::chrono::seconds(2);
+    constexpr std::size_t MAX_EXPLAINED = 50;
+    constexpr std::uint32_t ADMIN_CONNECTIONS = 32;
+
+    Reducer makeReducer(const Settings& settings)
+    {
+        // Zero means "no incarnation" in messages.
+        const std::uint64_t incarnation = std::max<std::uint64_t>(randomBits(), 1);
+        return Reducer::Builder().settings(settings).incarnation(Incarnation { incarnation }).secret(randomSecret().value()).start(steadyNow()).build();
+    }
+
+    LogLevel levelOf(DecisionKind kind)
+    {
+        switch (kind) {
+        case DecisionKind::Refused:
+            return LogLevel::Debug;
+        case DecisionKind::EjectionWithheld:
+        case DecisionKind::SheetRefused:
+        case DecisionKind::SelfDistrusted:
+        case DecisionKind::Quarantined:
+            return LogLevel::Warn;
+        default:
+            return LogLevel::Info;
+        }
+    }
+
+    std::string sentenceOf(const Decision& decision)
+    {
+        std::string sentence = std::string(toString(decision.kind)) + " " + escapeForLog(decision.subject) + ": " + escapeForLog(decision.evidence);
+        if (!decision.bound.empty())
+            sentence += "; " + escapeForLog(decision.bound);
+        if (decision.lasts > Duration {})
+            sentence += "; for " + std::to_string(std::chrono::duration_cast<Millis>(decision.lasts).count()) + " ms";
+        return sentence + ".";
+    }
+
+} // namespace
+
+Instance::Instance(Settings settings)
+    : m_settings(std::move(settings))
+    , m_ticker(m_io)
+    , m_closer(m_io)
+    , m_signals(m_io, SIGTERM, SIGINT)
+    , m_reducer(makeReducer(m_settings))
+    , m_client(m_io)
+    , m_tracer(m_client, m_settings.traceCollector, m_settings.name.value())
+    , m_callerSide(m_requests, m_tracer, [this](EventBody body) { apply(std::move(body)); })
+    , m_serverSide(m_requests, m_client, m_tracer, [this](EventBody body) { apply(std::move(body)); })
+    , m_peerSide(m_io, m_requests, m_tracer, m_settings, [this](EventBody body) { apply(std::move(body)); },
+          [this](peer::Envelope& message) { m_reducer.sign(message); })
+    , m_adminSide(adminParts())
+    , m_callerServer(m_io, m_callerSide, { m_settings.maxConnections, static_cast<std::size_t>(m_settings.maxHead.value()), m_settings.receiveTime })
+    , m_adminServer(m_io, m_adminSide, { ADMIN_CONNECTIONS, static_cast<std::size_t>(m_settings.maxHead.value()), m_settings.receiveTime })
+{
+    if (m_settings.platform)
+        m_platform = std::make_unique<PlatformWatch>(m_io, m_client, *m_settings.platform, [this](EventBody body) { apply(std::move(body)); });
+}
+
+bool Instance::start(Reason& reason)
+{
+    const auto callers = m_callerServer.listen(m_settings.callers, reason);
+    const auto admin = callers ? m_adminServer.listen(m_settings.admin, reason) : std::nullopt;
+    if (!admin || !m_peerSide.listen(m_settings.peers, reason))
+        return false;
+    logLine(LogLevel::Info, LogPart::Main, "Listening for callers at " + toString(*callers) + ", for operators at " + toString(*admin) + ", for peers at " + toString(m_settings.peers) + ".");
+    if (m_platform)
+        m_platform->start();
+    return true;
+}
+
+void Instance::run()
+{
+    awaitSignal();
+    tick();
+    m_io.run();
+}
+
+void Instance::apply(EventBody body)
+{
+    EffectList effects = std::exchange(m_spareEffects, {});
+    m_reducer.apply({ steadyNow(), randomBits(), std::move(body) }, effects);
+    for (const Effect& effect : effects)
+        perform(effect);
+    effects.clear();
+    m_spareEffects = std::move(effects);
+}
+
+void Instance::perform(const Effect& effect)
+{
+    std::visit([this](const auto& body) { on(body); }, effect);
+}
+
+void Instance::on(const ReadBody& effect)
+{
+    ActiveRequest* request = m_requests.find(effect.request);
+    if (!request)
+        return;
+    if (request->origin)
+        m_peerSide.readBody(*request, effect);
+    else
+        m_callerSide.readBody(*request, effect);
+}
+
+void Instance::on(const ForwardToOwner& effect)
+{
+    if (const ActiveRequest* request = m_requests.find(effect.request))
+        m_peerSide.forward(*request, effect);
+}
+
+void Instance::on(const RelayAnswer& effect)
+{
+    ActiveRequest* request = m_requests.find(effect.request);
+    if (!request)
+        return;
+    if (request->origin) {
+        m_peerSide.reply(*request, effect.answer.get(), ErrorKind::None, Outcome::Ran);
+        return m_tracer.end(request->span);
+    }
+    Answer answer = *effect.answer;
+    answer.headers.push_back({ OUTCOME_HEADER, toString(Outcome::Ran) });
+    if (!effect.nextKey.empty())
+        answer.headers.push_back({ NEXT_KEY_HEADER, effect.nextKey });
+    m_callerSide.respond(*request, std::move(answer));
+}
+
+void Instance::on(const Refuse& effect)
+{
+    ActiveRequest* request = m_requests.find(effect.request);
+    if (!request)
+        return;
+    if (request->origin) {
+        m_peerSide.reply(*request, nullptr, effect.error, effect.outcome);
+        request->span.failed = true;
+        return m_tracer.end(request->span);
+    }
+    m_callerSide.respond(*request, makeRefusal(effect.error, effect.outcome, effect.retryAfter, effect.nextKey));
+}
+
+void Instance::on(const GiveKeys& effect)
+{
+    if (ActiveRequest* request = m_requests.find(effect.request))
+        m_callerSide.giveKeys(*request, effect);
+    m_requests.erase(effect.request);
+}
+
+void Instance::on(const WatchPlatform& effect)
+{
+    if (m_platform)
+        m_platform->watch(effect.enabled, effect.listRefresh);
+}
+
+void Instance::on(const Report& effect)
+{
+    ++m_figures.decisions.at(static_cast<std::size_t>(effect.decision.kind));
+    logLine(levelOf(effect.decision.kind), LogPart::Decision, sentenceOf(effect.decision));
+}
+
+void Instance::on(const SetReady& effect)
+{
+    m_callerSide.setReady(effect.ready);
+    logLine(LogLevel::Info, LogPart::Main, effect.ready ? "Ready for callers." : "Not ready for callers.");
+    if (!effect.ready)
+        m_callerServer.drain();
+}
+
+// Requests that arrive while connections end are still served.
+void Instance::on(const Stopped&)
+{
+    m_callerServer.close();
+    m_callerServer.closeIdle();
+    m_adminServer.close();
+    awaitClosed(steadyNow() + CLOSE_TIME);
+}
+
+void Instance::awaitClosed(Time until)
+{
+    if (!m_callerServer.connections() || steadyNow() >= until) {
+        logLine(LogLevel::Info, LogPart::Main, "Stopped.");
+        return m_io.stop();
+    }
+    m_closer.expires_after(TICK_INTERVAL);
+    m_closer.async_wait([this, until](boost::system::error_code) { awaitClosed(until); });
+}
+
+void Instance::tick()
+{
+    apply(Tick {});
+    maintain();
+    m_ticker.expires_after(TICK_INTERVAL);
+    m_ticker.async_wait([this](boost::system::error_code error) {
+        if (!error)
+            tick();
+    });
+}
+
+void Instance::maintain()
+{
+    const Time now = steadyNow();
+    if (now < m_nextMaintenance)
+        return;
+    m_nextMaintenance = now + MAINTENANCE_INTERVAL;
+    m_tracer.flush();
+    m_client.closeIdle();
+    m_peerSide.link().closeUnused(now);
+}
+
+void Instance::awaitSignal()
+{
+    m_signals.async_wait([this](boost::system::error_code error, int) {
+        if (error)
+            return;
+        apply(StopRequested {});
+        awaitSignal();
+    });
+}
+
+AdminSide::Parts Instance::adminParts()
+{
+    return {
+        [this] { return m_reducer.status(steadyNow()); },
+        [this](const std::string& subject) { return m_reducer.explain(subject, MAX_EXPLAINED); },
+        [this] { return renderMetrics(m_reducer.status(steadyNow()), m_reducer.counters(), figures()); },
+        [this] { apply(StopRequested {}); },
+        [] { return steadyNow(); },
+    };
+}
+
+ShellFigures Instance::figures() const
+{
+    ShellFigures figures = m_figures;
+    figures.connections = m_callerServer.connections();
+    figures.peerBytesSent = m_peerSide.link().bytesSent();
+    figures.peerBytesReceived = m_peerSide.link().bytesReceived();
+    figures.platformCalls = m_platform ? m_platform->calls() : 0;
+    figures.spansDropped = m_tracer.dropped();
+    return figures;
+}
+
+} // namespace cornelwind
--- /dev/null
+++ b/src/shell/main.cpp
@@ -0,0 +1,81 @@
+#include "commands.h"
+
+#include <popt.h>
+
+#include <cstdlib>
+#include <iostream>
+#include <memory>
+
+namespace {
+
+constexpr const char* VERSION = "cornelwind 0.1.0";
+
+constexpr const char* COMMANDS = R"(
+Commands:
+  serve    run an entry instance             --settings FILE
+  check    check settings or a sheet         --settings FILE | --sheet FILE
+  status   show the state of an instance     --admin HOST:PORT | --settings FILE
+  explain  show why it decided as it did     [SUBJECT]
+  metrics  show its metrics
+  drain    stop it without cutting requests
+
+Exit codes: 0 ok, 1 faulty settings or sheet, 2 wrong command line,
+3 address cannot be listened on, 4 admin listener does not answer.
+)";
+
+struct PoptDeleter {
+    void operator()(poptContext context) const { poptFreeContext(context); }
+};
+
+std::optional<std::string> taken(char* value)
+{
+    if (!value)
+        return std::nullopt;
+    std::string text = value;
+    std::free(value);
+    return text;
+}
+
+} // namespace
+
+int main(int argc, const char** argv)
+{
+    char* settings = nullptr;
+    char* sheet = nullptr;
+    char* admin = nullptr;
+    int help = 0;
+    int version = 0;
+    const poptOption options[] = {
+        { "settings", 's', POPT_ARG_STRING, &settings, 0, "settings of the entry instance", "FILE" },
+        { "sheet", 0, POPT_ARG_STRING, &sheet, 0, "sheet to check", "FILE" },
+        { "admin", 'a', POPT_ARG_STRING, &admin, 0, "admin listener of the entry instance", "HOST:PORT" },
+        { "help", 'h', POPT_ARG_NONE, &help, 0, "show this help", nullptr },
+        { "version", 'v', POPT_ARG_NONE, &version, 0, "show the version", nullptr },
+        POPT_TABLEEND
+    };
+    const std::unique_ptr<poptContext_s, PoptDeleter> context(poptGetContext("cornelwind", argc, argv, options, 0));
+    poptSetOtherOptionHelp(context.get(), "COMMAND [OPTION...]");
+    const int parsed = poptGetNextOpt(context.get());
+    if (parsed < -1) {
+        std::cerr << "cornelwind: " << poptBadOption(context.get(), 0) << ": " << poptStrerror(parsed) << ". Run cornelwind --help.\n";
+        return static_cast<int>(cornelwind::ExitCode::Usage);
+    }
+    if (version) {
+        std::cout << VERSION << "\n";
+        return static_cast<int>(cornelwind::ExitCode::Ok);
+    }
+    const char* command = poptGetArg(context.get());
+    if (help || !command) {
+        poptPrintHelp(context.get(), help ? stdout : stderr, 0);
+        (help ? std::cout : std::cerr) << COMMANDS;
+        return static_cast<int>(help ? cornelwind::ExitCode::Ok : cornelwind::ExitCode::Usage);
+    }
+    cornelwind::Arguments arguments;
+    arguments.command = command;
+    arguments.settings = taken(settings);
+    arguments.sheet = taken(sheet);
+    arguments.admin = taken(admin);
+    if (const char* subject = poptGetArg(context.get()))
+        arguments.subject = subject;
+    return static_cast<int>(cornelwind::runCommand(arguments));
+}
--- /dev/null
+++ b/src/shell/metrics.h
@@ -0,0 +1,25 @@
+#pragma once
+
+#include "cornelwind/reducer.h"
+
+#include <array>
+#include <cstdint>
+#include <string>
+
+namespace cornelwind {
+
+/// Figures that the shell itself counts.
+struct ShellFigures {
+    std::size_t connections = 0;
+    std::uint64_t peerBytesSent = 0;
+    std::uint64_t peerBytesReceived = 0;
+    std::uint64_t platformCalls = 0;
+    std::uint64_t spansDropped = 0;
+    /// Decisions by kind.
+    std::array<std::uint64_t, 14> decisions {};
+};
+
+/// @return all metrics in the Prometheus text format
+std::string renderMetrics(const Status& status, const Counters& counters, const ShellFigures& figures);
+
+} // namespace cornelwind
--- /dev/null
+++ b/src/shell/peer_side.cpp
@@ -0,0 +1,110 @@
+#include "peer_side.h"
+
+#include "../decision/answer_codec.h"
+#include "peer.pb.h"
+
+#include <boost/algorithm/string/predicate.hpp>
+
+namespace cornelwind {
+
+PeerSide::PeerSide(boost::asio::io_context& io, RequestStore& requests, Tracer& tracer, const Settings& settings, EventSink sink, Signer sign)
+    : m_requests(requests)
+    , m_tracer(tracer)
+    , m_maxRequests(settings.maxConnections)
+    , m_sink(std::move(sink))
+    , m_sign(std::move(sign))
+    , m_link(io, [this](const std::shared_ptr<const peer::Envelope>& message) { onMessage(message); })
+{
+    for (const PeerRoute& route : settings.routes)
+        m_routes[route.instance.value()] = route.via;
+}
+
+void PeerSide::send(const SendPeer& effect)
+{
+    m_link.send(effect.address, *effect.message);
+}
+
+void PeerSide::forward(const ActiveRequest& request, const ForwardToOwner& effect)
+{
+    peer::Envelope message;
+    peer::ForwardRequest& forward = *message.mutable_forward_request();
+    forward.set_correlation(request.id.value());
+    forward.set_method(request.head.method);
+    forward.set_target(request.head.target);
+    const auto add = [&](const std::string& name, const std::string& value) {
+        auto& field = *forward.add_headers();
+        field.set_name(name);
+        field.set_value(value);
+    };
+    for (const Header& header : request.head.headers) {
+        if (!boost::algorithm::iequals(header.name, "traceparent") && !boost::algorithm::iequals(header.name, DEADLINE_HEADER))
+            add(header.name, header.value);
+    }
+    add("traceparent", request.span.context.header());
+    add(DEADLINE_HEADER, std::to_string(effect.remaining.count()));
+    forward.set_body(request.body);
+    m_sign(message);
+    m_link.send(effect.address, message);
+}
+
+void PeerSide::reply(const ActiveRequest& request, const Answer* answer, ErrorKind error, Outcome outcome)
+{
+    peer::Envelope message;
+    peer::ForwardReply& reply = *message.mutable_forward_reply();
+    reply.set_correlation(request.origin->correlation);
+    reply.set_outcome(static_cast<std::uint32_t>(outcome));
+    if (answer)
+        writeAnswer(*answer, reply);
+    else
+        reply.set_error(describe(error).name);
+    m_sign(message);
+    m_link.send(request.origin->address, message);
+}
+
+void PeerSide::onMessage(const std::shared_ptr<const peer::Envelope>& message)
+{
+    m_sink(PeerReceived { message });
+    if (message->has_forward_request())
+        onForwardRequest(*message);
+    else if (message->has_forward_reply())
+        onForwardReply(message->forward_reply());
+}
+
+void PeerSide::onForwardRequest(const peer::Envelope& message)
+{
+    const peer::ForwardRequest& forward = message.forward_request();
+    const auto route = m_routes.find(message.from().name());
+    const auto address = route == m_routes.end() ? parseEndpoint(message.from().address()) : std::optional(route->second);
+    // Without a reply the sender answers "unknown" in time.
+    if (!address || m_requests.size() >= 2 * std::size_t { m_maxRequests })
+        return;
+    ActiveRequest& request = m_requests.create();
+    request.origin = PeerOrigin { *address, forward.correlation() };
+    request.head.method = forward.method();
+    request.head.target = forward.target();
+    for (const auto& header : forward.headers())
+        request.head.headers.push_back({ header.name(), header.value() });
+    request.body = forward.body();
+    const std::string* parent = request.head.find("traceparent");
+    request.span = m_tracer.start("owner", parent ? parseTraceparent(*parent) : std::nullopt);
+    m_sink(makeHeadReceived(request));
+}
+
+void PeerSide::readBody(const ActiveRequest& request, const ReadBody& effect)
+{
+    if (request.body.size() > effect.limit.value())
+        return m_sink(ReceiveFailed { request.id, ErrorKind::BodyTooLarge });
+    m_sink(BodyReceived { request.id, fingerprintOf(request.head, request.body) });
+}
+
+void PeerSide::onForwardReply(const peer::ForwardReply& reply)
+{
+    OwnerReplied event { RequestId { reply.correlation() }, readOutcome(reply.outcome()), ErrorKind::None, nullptr };
+    if (reply.error().empty())
+        event.answer = readAnswer(reply);
+    else
+        event.error = readErrorKind(reply.error());
+    m_sink(event);
+}
+
+} // namespace cornelwind
--- /dev/null
+++ b/src/shell/server_side.cpp
@@ -0,0 +1,115 @@
+#include "server_side.h"
+
+#include <boost/algorithm/string/predicate.hpp>
+
+#include <algorithm>
+#include <array>
+
+namespace cornelwind {
+namespace {
+
+    constexpr std::size_t MAX_PROBE_ANSWER = 16 * 1024;
+
+    constexpr std::array resultNames { "answered", "shed", "not-sent", "crashed", "stale-connection", "broken", "too-large", "timed-out", "cancelled" };
+
+    bool hasHeader(const Answer& answer, const std::string& name)
+    {
+        return !name.empty() && std::any_of(answer.headers.begin(), answer.headers.end(), [&](const Header& header) { return boost::algorithm::iequals(header.name, name); });
+    }
+
+    bool isReplaced(const std::string& name)
+    {
+        return isHopByHop(name) || boost::algorithm::iequals(name, "traceparent") || boost::algorithm::istarts_with(name, "Cornelwind-");
+    }
+
+} // namespace
+
+ServerSide::ServerSide(RequestStore& requests, HttpClient& client, Tracer& tracer, EventSink sink)
+    : m_requests(requests)
+    , m_client(client)
+    , m_tracer(tracer)
+    , m_sink(std::move(sink))
+{
+}
+
+void ServerSide::send(const SendTry& effect)
+{
+    const ActiveRequest* request = m_requests.find(effect.request);
+    if (!request)
+        return m_sink(TryFinished { effect.id, TryResult::NotSent, nullptr, false });
+    Span span = m_tracer.start("try", request->span.context);
+    span.attributes = { { "server", effect.name.value() } };
+    HttpCall call = makeCall(*request, effect, span);
+    Sending& sending = m_sendings[effect.id];
+    sending = { 0, std::move(span), effect.shedStatus, effect.shedHeader, effect.drainHeader };
+    sending.call = m_client.start(std::move(call), [this, id = effect.id](const HttpResult& result) { onResult(id, result); });
+}
+
+HttpCall ServerSide::makeCall(const ActiveRequest& request, const SendTry& effect, const Span& span) const
+{
+    HttpCall call;
+    call.address = effect.address;
+    call.method = request.head.method;
+    call.target = request.head.target;
+    for (const Header& header : request.head.headers) {
+        if (!isReplaced(header.name))
+            call.headers.push_back(header);
+    }
+    const auto remaining = std::chrono::duration_cast<Millis>(effect.deadline - steadyNow());
+    call.headers.push_back({ DEADLINE_HEADER, std::to_string(std::max<std::int64_t>(remaining.count(), 0)) });
+    call.headers.push_back({ "traceparent", span.context.header() });
+    call.echoHeader = TRY_HEADER;
+    call.echoValue = span.context.spanId;
+    call.headers.push_back({ call.echoHeader, call.echoValue });
+    call.body = request.body;
+    call.deadline = effect.deadline;
+    call.maxAnswer = effect.maxAnswer.value();
+    call.reuse = effect.connection == ConnectionUse::Reuse;
+    return call;
+}
+
+void ServerSide::onResult(TryId id, const HttpResult& result)
+{
+    const auto found = m_sendings.find(id);
+    if (found == m_sendings.end())
+        return;
+    Sending sending = std::move(found->second);
+    m_sendings.erase(found);
+    TryFinished event { id, result.result, result.answer, false };
+    if (result.answer) {
+        event.leaving = hasHeader(*result.answer, sending.drainHeader);
+        if (result.answer->status == sending.shedStatus && hasHeader(*result.answer, sending.shedHeader))
+            event.result = TryResult::Shed;
+    }
+    sending.span.failed = event.result != TryResult::Answered;
+    sending.span.attributes.push_back({ "result", resultNames.at(static_cast<std::size_t>(event.result)) });
+    m_tracer.end(std::move(sending.span));
+    m_sink(event);
+}
+
+void ServerSide::cancel(const CancelTry& effect)
+{
+    const auto found = m_sendings.find(effect.id);
+    if (found != m_sendings.end())
+        m_client.cancel(found->second.call);
+}
+
+void ServerSide::probe(const SendProbe& effect)
+{
+    HttpCall call;
+    call.address = effect.address;
+    call.target = effect.path;
+    call.deadline = steadyNow() + effect.timeLimit;
+    call.maxAnswer = MAX_PROBE_ANSWER;
+    const Time sentAt = steadyNow();
+    m_client.start(std::move(call), [this, server = effect.server, drainHeader = effect.drainHeader, sentAt](const HttpResult& result) {
+        ProbeFinished event { server };
+        event.answered = result.answer != nullptr;
+        event.healthy = event.answered && result.answer->status < 500;
+        event.leaving = event.answered && hasHeader(*result.answer, drainHeader);
+        event.latency = steadyNow() - sentAt;
+        m_sink(event);
+    });
+}
+
+} // namespace cornelwind
