Serve a request end to end through entry instances as processes

A look-up and an order pass from a caller through an entry instance to a backend server stand-in; the same order sent again through the two other entry instances is answered from the owner's ledger and ran once.

Cause of the first failure of path_test: an error_code that says success is of the system category, so the server took every body for a lost connection. Ruled out: the peers (all alive after 0.3 s) and the readiness rule. Before: every request with a body ended without an answer.

--- a/src/shell/http_server.cpp
+++ b/src/shell/http_server.cpp
@@ -56,6 +56,12 @@
         return !chunked || request.version() < 11 || request.count(http::field::content_length);
     }
 
+    // The connection ended or failed, rather than the message being wrong.
+    bool isLost(ErrorCode error)
+    {
+        return error && (error == http::error::partial_message || error.category() == asio::error::get_system_category());
+    }
+
     ErrorKind errorKindOf(ErrorCode error)
     {
         if (error == http::error::header_limit || error == http::error::buffer_overflow)
@@ -225,7 +231,7 @@
     {
         if (m_phase != Phase::Receiving)
             return;
-        if (error == http::error::end_of_stream || error == asio::error::operation_aborted || error == asio::error::connection_reset)
+        if (error == http::error::end_of_stream || isLost(error))
             return closeNow();
         if (error)
             return failHead(errorKindOf(error));
@@ -279,7 +285,7 @@
         if (m_phase != Phase::Waiting || m_close)
             return;
         disarm();
-        if (error == http::error::partial_message || error.category() == asio::error::get_system_category()) {
+        if (isLost(error)) {
             m_close = true;
             return m_listener->handler.onGone(shared_from_this());
         }
--- a/src/shell/instance.cpp
+++ b/src/shell/instance.cpp
@@ -60,7 +60,8 @@
     , m_tracer(m_client, m_settings.traceCollector, m_settings.name.value())
     , m_callerSide(m_requests, m_tracer, [this](EventBody body) { apply(std::move(body)); })
     , m_serverSide(m_requests, m_client, m_tracer, [this](EventBody body) { apply(std::move(body)); })
-    , m_peerSide(m_io, m_requests, m_tracer, m_settings, [this](EventBody body) { apply(std::move(body)); },
+    , m_peerSide(
+          m_io, m_requests, m_tracer, m_settings, [this](EventBody body) { apply(std::move(body)); },
           [this](peer::Envelope& message) { m_reducer.sign(message); })
     , m_adminSide(adminParts())
     , m_callerServer(m_io, m_callerSide, { m_settings.maxConnections, static_cast<std::size_t>(m_settings.maxHead.value()), m_settings.receiveTime })
--- a/src/shell/log.cpp
+++ b/src/shell/log.cpp
@@ -33,7 +33,7 @@
 
 void startLog(const std::string& instance, const std::string& level)
 {
-    const log4cxx::LogString pattern = "time=%d{yyyy-MM-dd'T'HH:mm:ss.SSS} level=%p instance=" + instance + " part=%c %m%n";
+    const log4cxx::LogString pattern = "time=%d{yyyy-MM-ddTHH:mm:ss.SSS} level=%p instance=" + instance + " part=%c %m%n";
     const auto layout = std::make_shared<log4cxx::PatternLayout>(pattern);
     const auto appender = std::make_shared<log4cxx::ConsoleAppender>(layout, log4cxx::ConsoleAppender::getSystemErr());
     const auto root = log4cxx::Logger::getRootLogger();
--- /dev/null
+++ b/tests/main.cpp
@@ -0,0 +1,2 @@
+#define CATCH_CONFIG_MAIN
+#include <catch2/catch.hpp>
--- /dev/null
+++ b/tests/support/fleet.cpp
@@ -0,0 +1,292 @@
+#include "fleet.h"
+
+#include <fcntl.h>
+#include <spawn.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <atomic>
+#include <chrono>
+#include <csignal>
+#include <cstdlib>
+#include <filesystem>
+#include <fstream>
+#include <sstream>
+#include <stdexcept>
+#include <thread>
+
+extern char** environ;
+
+namespace cornelwind::test {
+namespace {
+
+    constexpr int POLL_MS = 10;
+
+    std::size_t countOf(const std::string& text, const std::string& part)
+    {
+        std::size_t count = 0;
+        for (std::size_t at = text.find(part); at != std::string::npos; at = text.find(part, at + part.size()))
+            ++count;
+        return count;
+    }
+
+    // A loopback address that no other test process uses.
+    std::string ownHost()
+    {
+        static std::atomic<unsigned> fleets = 0;
+        const auto pid = static_cast<unsigned>(getpid());
+        return "127." + std::to_string(1 + (pid >> 8) % 250) + "." + std::to_string(pid % 256) + "." + std::to_string(1 + fleets++ % 250);
+    }
+
+} // namespace
+
+Process::Process(const std::string& program, const std::vector<std::string>& arguments, const std::string& log)
+{
+    std::vector<char*> argv { const_cast<char*>(program.c_str()) };
+    for (const std::string& argument : arguments)
+        argv.push_back(const_cast<char*>(argument.c_str()));
+    argv.push_back(nullptr);
+    posix_spawn_file_actions_t actions;
+    posix_spawn_file_actions_init(&actions);
+    posix_spawn_file_actions_addopen(&actions, STDOUT_FILENO, log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
+    posix_spawn_file_actions_adddup2(&actions, STDOUT_FILENO, STDERR_FILENO);
+    if (posix_spawn(&m_pid, program.c_str(), &actions, nullptr, argv.data(), environ))
+        throw std::runtime_error("cannot start " + program);
+    posix_spawn_file_actions_destroy(&actions);
+}
+
+Process::~Process()
+{
+    kill();
+}
+
+void Process::signal(int number) const
+{
+    if (m_pid > 0)
+        ::kill(m_pid, number);
+}
+
+void Process::kill()
+{
+    if (m_pid <= 0)
+        return;
+    signal(SIGKILL);
+    waitpid(m_pid, nullptr, 0);
+    m_pid = -1;
+}
+
+std::optional<int> Process::wait(int timeLimitMs)
+{
+    int state = 0;
+    const bool ended = waitFor([&] { return waitpid(m_pid, &state, WNOHANG) == m_pid; }, timeLimitMs);
+    if (!ended)
+        return std::nullopt;
+    m_pid = -1;
+    return WIFEXITED(state) ? std::optional(WEXITSTATUS(state)) : std::nullopt;
+}
+
+bool waitFor(const std::function<bool()>& condition, int timeLimitMs)
+{
+    const auto until = std::chrono::steady_clock::now() + std::chrono::milliseconds(timeLimitMs);
+    while (!condition()) {
+        if (std::chrono::steady_clock::now() >= until)
+            return condition();
+        std::this_thread::sleep_for(std::chrono::milliseconds(POLL_MS));
+    }
+    return true;
+}
+
+Fleet::Fleet()
+    : m_host(ownHost())
+{
+    std::string pattern = (std::filesystem::temp_directory_path() / "cornelwind-test-XXXXXX").string();
+    m_folder = mkdtemp(pattern.data());
+    m_platformAddress = freeAddress();
+    m_platform = std::make_unique<Process>(STANDIN_PROGRAM, std::vector<std::string> { "platform", "--listen", m_platformAddress }, m_folder + "/platform.log");
+    waitFor([&] { return call(m_platformAddress, "GET", "/calls").has_value(); });
+}
+
+Fleet::~Fleet()
+{
+    m_instances.clear();
+    m_servers.clear();
+    m_relays.clear();
+    m_platform.reset();
+    if (!std::getenv("CORNELWIND_TEST_KEEP"))
+        std::filesystem::remove_all(m_folder);
+}
+
+std::string Fleet::freeAddress()
+{
+    const Socket socket = listenOn(m_host, 0);
+    return m_host + ":" + std::to_string(portOf(socket));
+}
+
+void Fleet::addServer(const ServerOptions& options)
+{
+    Server& server = m_servers[options.name];
+    server.options = options;
+    server.address = freeAddress();
+    server.listed = server.address;
+    server.process = std::make_unique<Process>(STANDIN_PROGRAM,
+        std::vector<std::string> { "server", "--listen", server.address, "--name", options.name, "--slots", std::to_string(options.slots), "--service-ms", std::to_string(options.serviceMs) },
+        m_folder + "/" + options.name + ".log");
+    waitFor([&] { return call(server.address, "GET", "/standin/record").has_value(); });
+}
+
+std::string Fleet::sheet(int version, const std::string& serviceSettings, const std::string& rules) const
+{
+    std::map<std::string, std::string> services;
+    for (const auto& [name, server] : m_servers) {
+        services[server.options.service] += "[[service.server]]\nname = \"" + name + "\"\naddress = \"" + server.listed
+            + "\"\nzone = \"leon\"\nslots = " + std::to_string(server.options.slots) + "\n";
+    }
+    std::string text = "version = " + std::to_string(version) + "\n";
+    for (const auto& [name, servers] : services)
+        text.append("[[service]]\nname = \"").append(name).append("\"\n").append(serviceSettings).append(servers);
+    if (!rules.empty())
+        return text + rules;
+    for (const auto& [name, servers] : services) {
+        text += "[[rule]]\nmethod = \"GET\"\npath = \"/" + name + "\"\nservice = \"" + name + "\"\nkind = \"idempotent\"\ntime_limit_ms = 3000\n";
+        text += "[[rule]]\nmethod = \"POST\"\npath = \"/" + name + "\"\nservice = \"" + name + "\"\nkind = \"at-most-once\"\ntime_limit_ms = 3000\n";
+    }
+    return text;
+}
+
+void Fleet::publishSheet(const std::string& text)
+{
+    call(m_platformAddress, "PUT", "/sheet", {}, text);
+}
+
+void Fleet::publishInstances(const std::map<std::string, std::string>& states)
+{
+    std::string list;
+    for (const auto& [name, instance] : m_instances) {
+        const auto state = states.find(name);
+        if (state != states.end() && state->second == "absent")
+            continue;
+        list += list.empty() ? "" : ",";
+        list += R"({"name":")" + name + R"(","zone":")" + instance.zone + R"(","address":")" + instance.peers + R"(","state":")"
+            + (state == states.end() ? "live" : state->second) + R"("})";
+    }
+    call(m_platformAddress, "PUT", "/instances", {}, "{\"instances\":[" + list + "],\"servers\":[]}");
+}
+
+void Fleet::addInstance(const std::string& name, const std::string& zone, const std::string& moreSettings)
+{
+    Instance& instance = m_instances[name];
+    instance.callers = freeAddress();
+    instance.admin = freeAddress();
+    instance.peers = freeAddress();
+    instance.zone = zone;
+    instance.settings = "[instance]\nname = \"" + name + "\"\nzone = \"" + zone + "\"\n[listen]\ncallers = \"" + instance.callers + "\"\npeers = \""
+        + instance.peers + "\"\nadmin = \"" + instance.admin + "\"\n[platform]\naddress = \"" + m_platformAddress + "\"\n" + moreSettings;
+}
+
+std::string Fleet::settingsFile(const std::string& name) const
+{
+    return m_folder + "/" + name + ".toml";
+}
+
+void Fleet::start(const std::string& name)
+{
+    Instance& instance = m_instances.at(name);
+    std::ofstream(settingsFile(name)) << instance.settings;
+    instance.process = std::make_unique<Process>(CORNELWIND_PROGRAM, std::vector<std::string> { "serve", "--settings", settingsFile(name) }, m_folder + "/" + name + ".log");
+}
+
+void Fleet::startAll()
+{
+    publishInstances();
+    for (const auto& [name, instance] : m_instances)
+        start(name);
+    for (const auto& [name, instance] : m_instances) {
+        if (!waitReady(name) || !waitMembers(name, m_instances.size() - 1))
+            throw std::runtime_error(name + " did not become ready");
+    }
+}
+
+bool Fleet::waitReady(const std::string& name, int timeLimitMs)
+{
+    return waitFor([&] {
+        const auto answer = call(admin(name), "GET", "/ready");
+        return answer && answer->status() == 200;
+    },
+        timeLimitMs);
+}
+
+bool Fleet::waitMembers(const std::string& name, std::size_t alive, int timeLimitMs)
+{
+    return waitFor([&] { return countOf(status(name), R"("state":"alive")") == alive; }, timeLimitMs);
+}
+
+std::string Fleet::relayPeers(const std::string& from, const std::string& to)
+{
+    const std::string address = freeAddress();
+    const std::string control = freeAddress();
+    m_relays.push_back(std::make_unique<Process>(STANDIN_PROGRAM,
+        std::vector<std::string> { "relay", "--listen", address, "--control", control, "--to", peers(to) }, m_folder + "/relay.log"));
+    m_instances.at(from).settings += "[[peer_route]]\ninstance = \"" + to + "\"\nvia = \"" + address + "\"\n";
+    return control;
+}
+
+std::string Fleet::relayServer(const std::string& name)
+{
+    const std::string address = freeAddress();
+    const std::string control = freeAddress();
+    m_relays.push_back(std::make_unique<Process>(STANDIN_PROGRAM,
+        std::vector<std::string> { "relay", "--listen", address, "--control", control, "--to", serverAddress(name) }, m_folder + "/relay.log"));
+    m_servers.at(name).listed = address;
+    return control;
+}
+
+void Fleet::controlServer(const std::string& name, const std::string& pairs)
+{
+    call(serverAddress(name), "PUT", "/standin/control", {}, pairs);
+}
+
+void Fleet::controlPlatform(const std::string& mode)
+{
+    call(m_platformAddress, "PUT", "/control", {}, "mode=" + mode);
+}
+
+void Fleet::controlRelay(const std::string& address, const std::string& pairs)
+{
+    waitFor([&] { return call(address, "PUT", "/control", {}, pairs).has_value(); });
+}
+
+std::string Fleet::fetchKey(const std::string& name) const
+{
+    const auto answer = call(callers(name), "POST", "/.cornelwind/keys?count=1");
+    if (!answer)
+        return {};
+    const std::size_t start = answer->body.find("cw1.");
+    return answer->body.substr(start, answer->body.find('"', start) - start);
+}
+
+int Fleet::runs(const std::string& server, const std::string& mark) const
+{
+    const auto record = call(serverAddress(server), "GET", "/standin/record");
+    std::istringstream lines(record ? record->body : "");
+    int count = 0;
+    for (std::string line; std::getline(lines, line);)
+        count += line.starts_with("run ") && line.find(mark) != std::string::npos;
+    return count;
+}
+
+int Fleet::runs(const std::string& mark) const
+{
+    int count = 0;
+    for (const auto& [name, server] : m_servers)
+        count += runs(name, mark);
+    return count;
+}
+
+std::string Fleet::status(const std::string& name) const
+{
+    const auto answer = call(admin(name), "GET", "/status");
+    return answer ? answer->body : "";
+}
+
+} // namespace cornelwind::test
