--- /dev/null
+++ b/benchmark/detection.cpp
@@ -0,0 +1,405 @@
+// Detection time and false ejections of the product's policy and of two known ones, on seeded outcome streams.
+#include "policies.h"
+
+#include <algorithm>
+#include <atomic>
+#include <cmath>
+#include <cstdio>
+#include <cstdlib>
+#include <cstring>
+#include <functional>
+#include <map>
+#include <queue>
+#include <random>
+#include <string>
+#include <thread>
+#include <vector>
+
+using namespace cornelwind;
+using namespace cornelwind::benchmark;
+
+namespace {
+
+constexpr Duration TICK = std::chrono::milliseconds(10);
+constexpr Duration WARM_UP = std::chrono::seconds(20);
+constexpr Duration ONSET_WINDOW = std::chrono::seconds(30);
+constexpr Duration TIME_LIMIT = std::chrono::seconds(2);
+constexpr std::size_t INSTANCES = 15;
+constexpr double SECONDS_PER_DAY = 86400;
+
+struct Service {
+    const char* name;
+    std::size_t servers;
+};
+
+struct Deployment {
+    const char* name;
+    std::vector<Service> services;
+    std::uint32_t slots;
+    Weighting weighting;
+    double medianMs;
+};
+
+/// What goes wrong, from the onset on.
+struct Scenario {
+    const char* name;
+    double load;
+    /// Of the sick server.
+    double stall = 0;
+    double fail = 0;
+    double slow = 1;
+    bool flapping = false;
+    bool oneInstanceOnly = false;
+    bool allServers = false;
+    bool coldStart = false;
+    bool sick = false;
+};
+
+struct Result {
+    std::vector<double> detectionSeconds;
+    std::uint64_t falseEjections = 0;
+    std::uint64_t floorBroken = 0;
+    double seconds = 0;
+    double lostSlotSeconds = 0;
+
+    void add(const Result& other)
+    {
+        detectionSeconds.insert(detectionSeconds.end(), other.detectionSeconds.begin(), other.detectionSeconds.end());
+        falseEjections += other.falseEjections;
+        floorBroken += other.floorBroken;
+        seconds += other.seconds;
+        lostSlotSeconds += other.lostSlotSeconds;
+    }
+};
+
+SheetPtr makeSheet(const Deployment& deployment, const Service& service)
+{
+    auto sheet = std::make_shared<Sheet>();
+    sheet->version = SheetVersion { 1 };
+    SheetService& config = sheet->services.emplace_back();
+    config.name = ServiceName { service.name };
+    config.weighting = deployment.weighting;
+    for (std::size_t i = 0; i < service.servers; ++i)
+        config.servers.push_back({ ServerName { service.name + std::to_string(i) }, {}, {}, Slots { deployment.slots } });
+    // Half of the slots must stay.
+    config.floor = Slots { static_cast<std::uint32_t>(service.servers * deployment.slots / 2) };
+    return sheet;
+}
+
+/// One service under load, in virtual time.
+class Simulation {
+public:
+    Simulation(const Deployment& deployment, const Service& service, const Scenario& scenario, PolicyFactory make, std::uint64_t seed)
+        : m_deployment(deployment)
+        , m_scenario(scenario)
+        , m_sheet(makeSheet(deployment, service))
+        , m_policy(make({ m_sheet, INSTANCES }))
+        , m_random(seed)
+    {
+        for (const SheetServer& server : m_sheet->services[0].servers)
+            m_servers.push_back({ serverIdOf(server.name) });
+        const double meanSeconds = deployment.medianMs / 1000 * std::exp(SIGMA * SIGMA / 2) * (1 + TAIL_SHARE * (TAIL_FACTOR - 1));
+        m_arrivalsPerSecond = scenario.load * static_cast<double>(service.servers * deployment.slots) / meanSeconds;
+    }
+
+    Result run(Duration length)
+    {
+        const Time start { std::chrono::seconds(1) };
+        m_onset = start + WARM_UP;
+        m_now = start;
+        Time nextArrival = start;
+        Time nextTick = start;
+        while (m_now < start + length) {
+            const Time end = m_running.empty() ? Time::max() : m_running.top().at;
+            m_now = std::min({ nextArrival, nextTick, end });
+            if (m_now == end)
+                finish();
+            else if (m_now == nextTick) {
+                tick();
+                nextTick += TICK;
+            } else {
+                arrive();
+                nextArrival += seconds(std::exponential_distribution<>(m_arrivalsPerSecond)(m_random));
+            }
+        }
+        m_result.seconds = std::chrono::duration<double>(length).count();
+        if (m_scenario.sick)
+            m_result.detectionSeconds.push_back(std::chrono::duration<double>((m_detected ? m_detectedAt : start + length) - m_onset).count());
+        return m_result;
+    }
+
+private:
+    static constexpr double SIGMA = 0.6;
+    static constexpr double TAIL_SHARE = 0.01;
+    static constexpr double TAIL_FACTOR = 10;
+    static constexpr double COLD_FACTOR = 5;
+
+    struct Server {
+        ServerId id;
+        std::uint32_t busy = 0;
+        bool out = false;
+    };
+
+    struct Running {
+        Time at;
+        TryId id;
+        std::size_t server;
+        std::size_t instance;
+        std::optional<bool> failed;
+
+        friend bool operator>(const Running& a, const Running& b) { return a.at > b.at; }
+    };
+
+    static Duration seconds(double value) { return Duration { static_cast<std::int64_t>(value * 1e6) }; }
+    double uniform() { return std::uniform_real_distribution<>(0, 1)(m_random); }
+
+    bool sickNow(std::size_t server, std::size_t instance) const
+    {
+        if (m_now < m_onset || (server != 0 && !m_scenario.allServers))
+            return false;
+        if (m_scenario.oneInstanceOnly && instance != 0)
+            return false;
+        if (!m_scenario.flapping)
+            return true;
+        constexpr Duration period = std::chrono::seconds(6);
+        return (m_now - m_onset) % period < period / 2;
+    }
+
+    void arrive()
+    {
+        const std::size_t instance = m_random() % INSTANCES;
+        const std::size_t first = m_random() % m_servers.size();
+        for (std::size_t i = 0; i < m_servers.size(); ++i) {
+            const std::size_t server = (first + i) % m_servers.size();
+            if (m_servers[server].busy < m_deployment.slots && m_policy->takesWork(instance, m_servers[server].id))
+                return send(server, instance);
+        }
+    }
+
+    void send(std::size_t server, std::size_t instance)
+    {
+        const bool sick = sickNow(server, instance);
+        double ms = m_deployment.medianMs * std::exp(SIGMA * std::normal_distribution<>()(m_random));
+        if (uniform() < TAIL_SHARE)
+            ms *= TAIL_FACTOR;
+        if (sick)
+            ms *= m_scenario.slow;
+        if (m_scenario.coldStart && server == 0 && m_now >= m_onset && m_now < m_onset + m_sheet->services[0].coldStart)
+            ms *= COLD_FACTOR;
+        std::optional<bool> failed = sick && uniform() < m_scenario.fail;
+        Duration length = seconds(ms / 1000);
+        if ((sick && uniform() < m_scenario.stall) || length > TIME_LIMIT) {
+            length = TIME_LIMIT;
+            failed = true;
+        }
+        const TryId id { ++m_lastTry };
+        ++m_servers[server].busy;
+        m_policy->sent(instance, id, m_servers[server].id, m_now);
+        m_running.push({ m_now + length, id, server, instance, failed });
+    }
+
+    void finish()
+    {
+        const Running ended = m_running.top();
+        m_running.pop();
+        --m_servers[ended.server].busy;
+        m_policy->ended(ended.instance, ended.id, m_servers[ended.server].id, ended.failed, m_now);
+    }
+
+    void tick()
+    {
+        if (m_scenario.coldStart && m_now >= m_onset && !m_joined) {
+            m_joined = true;
+            m_policy->joined(m_servers[0].id, m_now);
+        }
+        m_policy->tick(m_now);
+        std::uint32_t outSlots = 0;
+        for (std::size_t i = 0; i < m_servers.size(); ++i)
+            outSlots += observe(i) ? m_deployment.slots : 0;
+        const std::uint32_t all = static_cast<std::uint32_t>(m_servers.size()) * m_deployment.slots;
+        m_result.floorBroken += all - outSlots < m_sheet->services[0].floor.value();
+        m_result.lostSlotSeconds += outSlots * std::chrono::duration<double>(TICK).count();
+    }
+
+    // Out for the fleet: most instances send it nothing.
+    bool observe(std::size_t index)
+    {
+        Server& server = m_servers[index];
+        std::size_t refusing = 0;
+        for (std::size_t i = 0; i < INSTANCES; ++i)
+            refusing += !m_policy->takesWork(i, server.id);
+        const bool out = refusing * 2 > INSTANCES;
+        const bool accused = index == 0 && m_scenario.sick && m_now >= m_onset;
+        if (m_scenario.oneInstanceOnly) {
+            if (accused && !m_policy->takesWork(0, server.id))
+                detect();
+            m_result.falseEjections += out && !server.out;
+        } else if (accused && refusing == INSTANCES)
+            detect();
+        else if (!accused)
+            m_result.falseEjections += out && !server.out;
+        server.out = out;
+        return out;
+    }
+
+    void detect()
+    {
+        if (m_detected)
+            return;
+        m_detected = true;
+        m_detectedAt = m_now;
+    }
+
+    const Deployment& m_deployment;
+    const Scenario& m_scenario;
+    SheetPtr m_sheet;
+    std::unique_ptr<Policy> m_policy;
+    std::mt19937_64 m_random;
+    std::vector<Server> m_servers;
+    std::priority_queue<Running, std::vector<Running>, std::greater<>> m_running;
+    double m_arrivalsPerSecond = 0;
+    Time m_now;
+    Time m_onset;
+    Time m_detectedAt;
+    std::uint64_t m_lastTry = 0;
+    bool m_detected = false;
+    bool m_joined = false;
+    Result m_result;
+};
+
+double quantile(std::vector<double> values, double share)
+{
+    if (values.empty())
+        return 0;
+    std::sort(values.begin(), values.end());
+    return values[std::min(values.size() - 1, static_cast<std::size_t>(share * static_cast<double>(values.size())))];
+}
+
+/// Results by deployment, scenario and policy.
+using Key = std::tuple<std::size_t, std::size_t, std::size_t>;
+
+class Runner {
+public:
+    void add(const Key& key, std::function<Result()> job)
+    {
+        m_jobs.push_back({ key, std::move(job) });
+    }
+
+    std::map<Key, Result> runAll()
+    {
+        std::atomic<std::size_t> next = 0;
+        std::vector<Result> results(m_jobs.size());
+        std::vector<std::thread> threads;
+        for (unsigned i = 0; i < std::max(1U, std::thread::hardware_concurrency()); ++i) {
+            threads.emplace_back([&] {
+                for (std::size_t job = next++; job < m_jobs.size(); job = next++)
+                    results[job] = m_jobs[job].run();
+            });
+        }
+        for (std::thread& thread : threads)
+            thread.join();
+        std::map<Key, Result> sums;
+        for (std::size_t i = 0; i < m_jobs.size(); ++i)
+            sums[m_jobs[i].key].add(results[i]);
+        return sums;
+    }
+
+private:
+    struct Job {
+        Key key;
+        std::function<Result()> run;
+    };
+    std::vector<Job> m_jobs;
+};
+
+const std::vector<Deployment> deployments {
+    { "bajio", { { "catalogue", 8 }, { "orders", 15 }, { "dispatch", 6 } }, 4, Weighting::DetectionTime, 40 },
+    { "alps", { { "lookups", 8 }, { "retirements", 14 }, { "issues", 8 } }, 2, Weighting::FalseEjections, 60 },
+};
+
+std::vector<Scenario> makeScenarios()
+{
+    std::vector<Scenario> rows {
+        { .name = "healthy 50%", .load = 0.5 },
+        { .name = "healthy 95%", .load = 0.95 },
+        { .name = "cold start", .load = 0.6, .coldStart = true },
+        { .name = "all 5x slower", .load = 0.6, .slow = 5, .allServers = true },
+        { .name = "all fail 20%", .load = 0.6, .fail = 0.2, .allServers = true },
+        { .name = "stall 10%", .load = 0.6, .stall = 0.1, .sick = true },
+        { .name = "stall 30%", .load = 0.6, .stall = 0.3, .sick = true },
+        { .name = "stall 60%", .load = 0.6, .stall = 0.6, .sick = true },
+        { .name = "fail 5%", .load = 0.6, .fail = 0.05, .sick = true },
+        { .name = "fail 20%", .load = 0.6, .fail = 0.2, .sick = true },
+        { .name = "fail 60%", .load = 0.6, .fail = 0.6, .sick = true },
+        { .name = "5x slower", .load = 0.6, .slow = 5, .sick = true },
+        { .name = "flapping", .load = 0.6, .fail = 0.6, .flapping = true, .sick = true },
+        { .name = "cut from one", .load = 0.6, .fail = 1, .oneInstanceOnly = true, .sick = true },
+    };
+    return rows;
+}
+
+void printRow(const char* scenario, const char* policy, const Result& result)
+{
+    const double perDay = static_cast<double>(result.falseEjections) / result.seconds * SECONDS_PER_DAY;
+    std::printf("  %-14s %-14s", scenario, policy);
+    if (result.detectionSeconds.empty())
+        std::printf(" %8s %8s", "-", "-");
+    else
+        std::printf(" %8.2f %8.2f", quantile(result.detectionSeconds, 0.5), quantile(result.detectionSeconds, 0.95));
+    std::printf(" %10.2f %10.3f %6llu\n", perDay, result.lostSlotSeconds / result.seconds, static_cast<unsigned long long>(result.floorBroken));
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    double hours = 1;
+    int seeds = 20;
+    for (int i = 1; i + 1 < argc; i += 2) {
+        if (!std::strcmp(argv[i], "--hours"))
+            hours = std::atof(argv[i + 1]);
+        if (!std::strcmp(argv[i], "--seeds"))
+            seeds = std::atoi(argv[i + 1]);
+    }
+    const auto scenarios = makeScenarios();
+    const Duration healthyPart = std::chrono::minutes(15);
+    Runner runner;
+    for (std::size_t d = 0; d < deployments.size(); ++d) {
+        for (std::size_t s = 0; s < scenarios.size(); ++s) {
+            const bool endless = scenarios[s].load == 0.5 || scenarios[s].load == 0.95;
+            const int repeats = endless ? std::max(1, static_cast<int>(hours * 4)) : seeds;
+            const Duration length = endless ? healthyPart : Duration { WARM_UP + ONSET_WINDOW };
+            for (std::size_t p = 0; p < policies().size(); ++p) {
+                for (const Service& service : deployments[d].services) {
+                    for (int seed = 1; seed <= repeats; ++seed) {
+                        runner.add({ d, s, p }, [&, d, s, p, seed, length] {
+                            return Simulation(deployments[d], service, scenarios[s], policies()[p].make, static_cast<std::uint64_t>(seed)).run(length);
+                        });
+                    }
+                }
+            }
+        }
+    }
+    auto results = runner.runAll();
+
+    std::map<std::size_t, double> ratios;
+    for (std::size_t d = 0; d < deployments.size(); ++d) {
+        std::printf("%s: detection time p50 and p95 in s (%d s where not detected), false ejections a day per service, slots lost, ticks below the floor\n", deployments[d].name,
+            static_cast<int>(std::chrono::duration_cast<std::chrono::seconds>(ONSET_WINDOW).count()));
+        std::vector<double> medianSums(policies().size());
+        for (std::size_t s = 0; s < scenarios.size(); ++s) {
+            for (std::size_t p = 0; p < policies().size(); ++p) {
+                const Result& result = results[{ d, s, p }];
+                printRow(scenarios[s].name, policies()[p].name, result);
+                double sum = 0;
+                for (const double value : result.detectionSeconds)
+                    sum += value;
+                if (!result.detectionSeconds.empty())
+                    medianSums[p] += sum / static_cast<double>(result.detectionSeconds.size());
+            }
+        }
+        ratios[d] = medianSums[0] / *std::min_element(medianSums.begin() + 1, medianSums.end());
+    }
+    std::printf("detection: bajio_ratio=%.3f alps_ratio=%.3f\n", ratios[0], ratios[1]);
+    return 0;
+}
