Test failures, slow answers and stalls apart, against expectations that follow at once

Cause of late detection: a stalled request counted as merely slow, which 3% of healthy answers are, so four stalls that fill four slots did not reach the threshold and the server got work again after each time limit. Cause of the false ejections when all slow down: the expectation came from a 3 s window and lagged. Cause of those when one instance is cut off: noise of slow answers hid that one source made all the failures. Ruled out: shorter digest intervals (the wait for evidence is the fill time of the slots), the same window for all kinds (too few stalls in 3 s).

--- a/include/cornelwind/detector.h
+++ b/include/cornelwind/detector.h
@@ -23,6 +23,8 @@
     std::uint32_t samples = 0;
     std::uint32_t failures = 0;
     std::uint32_t slow = 0;
+    /// Counted once more, possibly in a later interval than the sample.
+    std::uint32_t stalled = 0;
 
     Tally& operator+=(const Tally& other);
     bool empty() const { return !samples; }
@@ -61,16 +63,21 @@
 
 /// Judges backend servers by the outcomes of requests.
 ///
-/// An outcome is bad if it is an error, or slow: later than `SLOW_FACTOR` times
-/// the median of the service, counted as soon as that time has passed. What is
-/// expected of a healthy server is the bad share of the other servers of its
-/// service at the same time, so that trouble common to all accuses none.
+/// Three kinds of bad outcome are tested apart: an error; a slow answer, later
+/// than `SLOW_FACTOR` times the median of the service; a stall, later than
+/// `STALL_FACTOR` times the median. Slowness and stalls count as soon as that
+/// time has passed, while the request still waits. What is expected of a healthy
+/// server is the bad share of the other servers of its service at the same time,
+/// so that trouble common to all accuses none.
 ///
 /// Memory: for each server a fixed part and one entry for each entry instance
 /// that sent it traffic lately; one entry for each send in progress.
 class Detector {
 public:
     static constexpr double SLOW_FACTOR = 4;
+    static constexpr double STALL_FACTOR = 16;
+    /// Kinds of bad outcome.
+    static constexpr std::size_t KINDS = 3;
 
     Detector();
 
@@ -90,6 +97,9 @@
     /// Forgets what a server is accused of.
     void forgive(ServerId server);
 
+    /// Takes the past outcomes of an ejected server out of what is expected of the others.
+    void disregard(ServerId server);
+
     /// Adds the digest of another entry instance. Old and repeated ones change nothing.
     ///
     /// @param source id of the entry instance, not zero
@@ -113,22 +123,30 @@
 private:
     static constexpr std::uint64_t SELF = 0;
 
+    /// Numbers by kind of bad outcome.
+    using ByKind = std::array<double, KINDS>;
+
     struct Source {
-        /// Bad outcomes beyond expectation, decaying.
-        double excess = 0;
+        /// Bad outcomes beyond expectation, decaying; negative for a good source.
+        ByKind excess {};
         double samples = 0;
     };
 
     struct Pending {
         ServerId server;
         Time sentAt;
-        bool counted = false;
+        bool slowCounted = false;
+        bool stallCounted = false;
     };
 
     struct Window {
         double samples = 0;
-        double failures = 0;
-        double slow = 0;
+        ByKind bad {};
+
+        void add(const Tally& tally);
+        void add(const Window& other);
+        void decay(double factor);
+        Window without(const Window& part) const;
     };
 
     struct Track {
@@ -139,13 +157,15 @@
         std::uint32_t heldRounds = 0;
         std::unordered_map<std::uint64_t, Tally> arrived;
         std::unordered_map<std::uint64_t, Source> sources;
-        Window window;
-        SequentialTest failureTest;
-        SequentialTest slowTest;
-        SequentialTest ownFailureTest;
-        SequentialTest ownSlowTest;
-        double expectedFailures = 0;
-        double expectedSlow = 0;
+        /// The only source that sees trouble. Its outcomes say something of its path, not of the server.
+        std::optional<std::uint64_t> oddSource;
+        /// The last half minute, and the last seconds.
+        Window longWindow;
+        Window shortWindow;
+        /// Of the fleet's evidence, and of the own one, by kind.
+        std::array<SequentialTest, KINDS> tests;
+        std::array<SequentialTest, KINDS> ownTests;
+        ByKind expected {};
     };
 
     /// Histogram of answer times with decaying counts.
@@ -176,12 +196,23 @@
     };
 
     Track* find(ServerId server);
-    void count(Track& track, bool failed, bool slow);
     void countStalls(Time now);
-    Duration slowLimit(const Track& track) const;
+    /// @return the time from which an answer is later than `factor` medians
+    Duration lateness(const Track& track, double factor) const;
     void evaluateService(ServiceTrack& service);
-    void evaluateServer(Track& track, const Tally& arrived, double expectedFailures, double expectedSlow, double mostGain);
-    void updateSources(Track& track);
+    static ByKind expectedOf(const Window& longOthers, const Window& shortOthers, const Window& othersNow);
+    static void updateTests(std::array<SequentialTest, KINDS>& tests, const Window& seen, const ByKind& expected, double mostGain);
+    static ByKind badOf(const Tally& tally);
+    static double scoreOf(const std::array<SequentialTest, KINDS>& tests);
+    struct Loudest {
+        std::optional<std::uint64_t> id;
+        double share = 0;
+        std::optional<std::uint64_t> oddSource;
+    };
+    static std::size_t accusingKind(const Track& track);
+    static Loudest loudestOf(const Track& track);
+    static void updateSources(Track& track);
+    static Window arrivedWithoutOdd(const Track& track);
     void judgeSelf();
     void fillDigest();
 
--- a/include/cornelwind/sequential_test.h
+++ b/include/cornelwind/sequential_test.h
@@ -17,7 +17,7 @@
 class SequentialTest {
 public:
     /// Shares of additional failures that are tested for.
-    static constexpr std::array<double, 3> ALTERNATIVES { 0.05, 0.15, 0.5 };
+    static constexpr std::array<double, 4> ALTERNATIVES { 0.05, 0.15, 0.3, 0.6 };
 
     /// Adds outcomes that were observed together.
     ///
--- a/src/decision/detector.cpp
+++ b/src/decision/detector.cpp
@@ -6,39 +6,52 @@
 namespace cornelwind {
 namespace {
 
-    // The window for expectations spans about 3 s.
-    constexpr double WINDOW_DECAY = 0.92;
+    // The windows for expectations span about 30 s and 3 s.
+    constexpr double LONG_DECAY = 0.992;
+    constexpr double SHORT_DECAY = 0.92;
     constexpr double LATENCY_DECAY = 0.9;
     constexpr double SOURCE_DECAY = 0.9;
     // Assumed outcomes, so that a few samples do not make an expectation.
-    constexpr double PRIOR_SAMPLES = 100;
-    constexpr double PRIOR_BAD = 1;
+    constexpr double PRIOR_SAMPLES = 50;
+    constexpr double PRIOR_SAMPLES_NOW = 4;
+    // By kind: failures, slow answers, stalls.
+    constexpr std::array PRIOR_BAD_SHARES { 0.01, 0.05, 0.02 };
+    // Fewer bad outcomes than this may be chance, not trouble common to all.
+    constexpr double MIN_COMMON_BAD = 3;
+    // Standard deviations by which an expectation errs to the safe side.
+    constexpr double EXPECTATION_MARGIN = 1;
     constexpr double MAX_EXPECTED = 0.9;
     // Evidence of one interval alone cannot exceed the threshold.
-    constexpr double GAIN_SHARE = 0.4;
+    constexpr double GAIN_SHARE = 0.55;
     constexpr double OWN_THRESHOLD_SHARE = 0.6;
     constexpr Duration MIN_SLOW_LIMIT = std::chrono::milliseconds(10);
     constexpr Duration DEFAULT_SLOW_LIMIT = std::chrono::milliseconds(1000);
     constexpr double MIN_LATENCY_SAMPLES = 20;
     // Rounds for which a row without bad outcomes may be held back from the peers.
     constexpr std::uint32_t MAX_HELD_ROUNDS = 4;
+    constexpr std::uint32_t MAX_STALLED = 10000;
     constexpr double MIN_SOURCE_SAMPLES = 0.5;
     constexpr std::size_t MIN_PATHS = 3;
     // Share of the accusing evidence from which it counts as that of one entry instance.
-    constexpr double ONE_SOURCE_SHARE = 0.8;
+    constexpr double ONE_SOURCE_SHARE = 0.66;
+    // Bad outcomes beyond expectation from which one source can be odd.
+    constexpr double MIN_ODD_EXCESS = 1.5;
     constexpr Duration SOURCE_MEMORY = std::chrono::minutes(10);
     constexpr double BUCKETS_PER_OCTAVE = 5;
 
     // Mean samples to a false ejection of one server, by weighting.
-    constexpr double SAMPLES_DETECTION_TIME = 2e7;
-    constexpr double SAMPLES_BALANCED = 2e8;
-    constexpr double SAMPLES_FALSE_EJECTIONS = 2e9;
-    // Two kinds of bad outcome, each with all alternatives.
-    constexpr double TESTS_PER_SERVER = 2.0 * SequentialTest::ALTERNATIVES.size();
-
-    double expectedShare(double bad, double samples)
+    constexpr double SAMPLES_DETECTION_TIME = 3e5;
+    constexpr double SAMPLES_BALANCED = 1e7;
+    constexpr double SAMPLES_FALSE_EJECTIONS = 1e8;
+    // Each kind of bad outcome with all alternatives.
+    constexpr double TESTS_PER_SERVER = static_cast<double>(Detector::KINDS * SequentialTest::ALTERNATIVES.size());
+
+    // An upper bound of the share of bad outcomes (normal approximation).
+    double expectedShare(double bad, double samples, double priorBadShare, double priorSamples)
     {
-        return std::min((bad + PRIOR_BAD) / (samples + PRIOR_SAMPLES), MAX_EXPECTED);
+        const double count = samples + priorSamples;
+        const double share = (std::max(bad, 0.0) + priorBadShare * priorSamples) / count;
+        return std::min(share + EXPECTATION_MARGIN * std::sqrt(share / count), MAX_EXPECTED);
     }
 
 } // namespace
@@ -61,9 +74,54 @@
     samples += other.samples;
     failures += other.failures;
     slow += other.slow;
+    stalled += other.stalled;
     return *this;
 }
 
+void Detector::Window::add(const Tally& tally)
+{
+    const ByKind more = badOf(tally);
+    samples += tally.samples;
+    for (std::size_t kind = 0; kind < KINDS; ++kind)
+        bad[kind] += more[kind];
+}
+
+void Detector::Window::add(const Window& other)
+{
+    samples += other.samples;
+    for (std::size_t kind = 0; kind < KINDS; ++kind)
+        bad[kind] += other.bad[kind];
+}
+
+void Detector::Window::decay(double factor)
+{
+    samples *= factor;
+    for (double& count : bad)
+        count *= factor;
+}
+
+Detector::Window Detector::Window::without(const Window& part) const
+{
+    Window rest = *this;
+    rest.samples -= part.samples;
+    for (std::size_t kind = 0; kind < KINDS; ++kind)
+        rest.bad[kind] -= part.bad[kind];
+    return rest;
+}
+
+Detector::ByKind Detector::badOf(const Tally& tally)
+{
+    return { static_cast<double>(tally.failures), static_cast<double>(tally.slow), static_cast<double>(tally.stalled) };
+}
+
+double Detector::scoreOf(const std::array<SequentialTest, KINDS>& tests)
+{
+    double score = 0;
+    for (const SequentialTest& test : tests)
+        score = std::max(score, test.score());
+    return score;
+}
+
 std::size_t Detector::Latencies::bucketOf(Duration latency)
 {
     const double micros = std::max<double>(1, static_cast<double>(latency.count()));
@@ -132,19 +190,25 @@
     const Pending pending = found->second;
     m_pending.erase(found);
     Track* track = find(pending.server);
-    if (!track || !failed || pending.counted)
+    if (!track || !failed || pending.slowCounted)
         return;
     const Duration latency = now - pending.sentAt;
-    const bool slow = latency > slowLimit(*track) && now >= track->slownessFrom;
-    count(*track, *failed, slow && !*failed);
+    const bool judged = now >= track->slownessFrom && !*failed;
+    ++track->own.samples;
+    track->own.failures += *failed;
+    track->own.slow += judged && latency > lateness(*track, SLOW_FACTOR);
+    track->own.stalled += judged && latency > lateness(*track, STALL_FACTOR);
     if (!*failed)
         m_services[track->service].latencies.add(latency);
 }
 
 void Detector::probed(ServerId server, bool failed)
 {
-    if (Track* track = find(server))
-        count(*track, failed, false);
+    Track* track = find(server);
+    if (!track)
+        return;
+    ++track->own.samples;
+    track->own.failures += failed;
 }
 
 void Detector::ignoreSlownessUntil(ServerId server, Time until)
@@ -158,10 +222,18 @@
     Track* track = find(server);
     if (!track)
         return;
-    for (SequentialTest* test : { &track->failureTest, &track->slowTest, &track->ownFailureTest, &track->ownSlowTest })
-        test->reset();
-    track->window = {};
+    track->tests = {};
+    track->ownTests = {};
     track->sources.clear();
+    disregard(server);
+}
+
+void Detector::disregard(ServerId server)
+{
+    if (Track* track = find(server)) {
+        track->longWindow = {};
+        track->shortWindow = {};
+    }
 }
 
 bool Detector::merge(std::uint64_t source, std::uint64_t incarnation, const Digest& digest, Time now)
@@ -172,7 +244,7 @@
     last = { incarnation, digest.sequence, now };
     for (const DigestRow& row : digest.rows) {
         Track* track = find(row.server);
-        if (track && row.tally.failures <= row.tally.samples && row.tally.slow <= row.tally.samples)
+        if (track && row.tally.failures <= row.tally.samples && row.tally.slow <= row.tally.samples && row.tally.stalled <= MAX_STALLED)
             track->arrived[source] += row.tally;
     }
     return true;
@@ -182,7 +254,7 @@
 {
     countStalls(now);
     for (auto& [id, track] : m_tracks) {
-        if (!m_distrustsSelf && !track.own.empty())
+        if (!m_distrustsSelf && (!track.own.empty() || track.own.stalled))
             track.arrived[SELF] += track.own;
     }
     for (ServiceTrack& service : m_services) {
@@ -200,91 +272,107 @@
 {
     for (auto& [id, pending] : m_pending) {
         Track* track = find(pending.server);
-        if (!track || pending.counted || now < track->slownessFrom || now - pending.sentAt <= slowLimit(*track))
+        if (!track || pending.stallCounted || now < track->slownessFrom)
             continue;
-        pending.counted = true;
-        count(*track, false, true);
-        m_services[track->service].latencies.add(now - pending.sentAt);
+        const Duration waited = now - pending.sentAt;
+        if (!pending.slowCounted && waited > lateness(*track, SLOW_FACTOR)) {
+            pending.slowCounted = true;
+            ++track->own.samples;
+            ++track->own.slow;
+            m_services[track->service].latencies.add(waited);
+        }
+        if (waited > lateness(*track, STALL_FACTOR)) {
+            pending.stallCounted = true;
+            ++track->own.stalled;
+        }
     }
 }
 
-void Detector::count(Track& track, bool failed, bool slow)
-{
-    ++track.own.samples;
-    track.own.failures += failed;
-    track.own.slow += slow;
-}
-
-Duration Detector::slowLimit(const Track& track) const
+Duration Detector::lateness(const Track& track, double factor) const
 {
     const Duration median = m_services[track.service].median;
     if (!median.count())
         return DEFAULT_SLOW_LIMIT;
-    return std::max(Duration { static_cast<std::int64_t>(static_cast<double>(median.count()) * SLOW_FACTOR) }, MIN_SLOW_LIMIT);
+    return std::max(Duration { static_cast<std::int64_t>(static_cast<double>(median.count()) * factor) }, MIN_SLOW_LIMIT);
 }
 
 void Detector::evaluateService(ServiceTrack& service)
 {
-    Tally all;
-    Window window;
-    for (const ServerId id : service.servers) {
-        Track& track = m_tracks.at(id);
-        Tally arrived;
-        for (const auto& [source, tally] : track.arrived)
-            arrived += tally;
-        all += arrived;
-        track.window.samples = track.window.samples * WINDOW_DECAY + arrived.samples;
-        track.window.failures = track.window.failures * WINDOW_DECAY + arrived.failures;
-        track.window.slow = track.window.slow * WINDOW_DECAY + arrived.slow;
-        window.samples += track.window.samples;
-        window.failures += track.window.failures;
-        window.slow += track.window.slow;
+    Window longAll;
+    Window shortAll;
+    Window allNow;
+    std::vector<Window> arrived(service.servers.size());
+    for (std::size_t i = 0; i < service.servers.size(); ++i) {
+        Track& track = m_tracks.at(service.servers[i]);
+        arrived[i] = arrivedWithoutOdd(track);
+        track.longWindow.decay(LONG_DECAY);
+        track.longWindow.add(arrived[i]);
+        track.shortWindow.decay(SHORT_DECAY);
+        track.shortWindow.add(arrived[i]);
+        longAll.add(track.longWindow);
+        shortAll.add(track.shortWindow);
+        allNow.add(arrived[i]);
     }
     const double mostGain = ejectionThreshold(service.weighting) * GAIN_SHARE;
-    for (const ServerId id : service.servers) {
-        Track& track = m_tracks.at(id);
-        Tally arrived;
-        for (const auto& [source, tally] : track.arrived)
-            arrived += tally;
-        // The larger of the recent and the present share of the other servers.
-        const double others = window.samples - track.window.samples;
-        const double othersNow = all.samples - arrived.samples;
-        const double failures = std::max(expectedShare(window.failures - track.window.failures, others),
-            expectedShare(all.failures - arrived.failures, othersNow));
-        const double slow = std::max(expectedShare(window.slow - track.window.slow, others),
-            expectedShare(all.slow - arrived.slow, othersNow));
-        evaluateServer(track, arrived, failures, slow, mostGain);
+    for (std::size_t i = 0; i < service.servers.size(); ++i) {
+        Track& track = m_tracks.at(service.servers[i]);
+        track.expected = expectedOf(longAll.without(track.longWindow), shortAll.without(track.shortWindow), allNow.without(arrived[i]));
+        updateTests(track.tests, arrived[i], track.expected, mostGain);
+        Window own;
+        own.add(track.own);
+        updateTests(track.ownTests, own, track.expected, mostGain);
+        updateSources(track);
+    }
+}
+
+Detector::Window Detector::arrivedWithoutOdd(const Track& track)
+{
+    Window window;
+    for (const auto& [source, tally] : track.arrived) {
+        if (source != track.oddSource)
+            window.add(tally);
+    }
+    return window;
+}
+
+// The largest share among the other servers over three spans, so that a change common to all counts at once.
+Detector::ByKind Detector::expectedOf(const Window& longOthers, const Window& shortOthers, const Window& othersNow)
+{
+    ByKind expected {};
+    for (std::size_t kind = 0; kind < KINDS; ++kind) {
+        expected[kind] = expectedShare(longOthers.bad[kind], longOthers.samples, PRIOR_BAD_SHARES[kind], PRIOR_SAMPLES);
+        if (shortOthers.bad[kind] >= MIN_COMMON_BAD)
+            expected[kind] = std::max(expected[kind], expectedShare(shortOthers.bad[kind], shortOthers.samples, PRIOR_BAD_SHARES[kind], PRIOR_SAMPLES));
+        if (othersNow.bad[kind] >= MIN_COMMON_BAD)
+            expected[kind] = std::max(expected[kind], expectedShare(othersNow.bad[kind], othersNow.samples, PRIOR_BAD_SHARES[kind], PRIOR_SAMPLES_NOW));
     }
+    return expected;
 }
 
-void Detector::evaluateServer(Track& track, const Tally& arrived, double expectedFailures, double expectedSlow, double mostGain)
+// A stall was counted as good when its sample was, which a negative number takes back.
+void Detector::updateTests(std::array<SequentialTest, KINDS>& tests, const Window& seen, const ByKind& expected, double mostGain)
 {
-    track.expectedFailures = expectedFailures;
-    track.expectedSlow = expectedSlow;
-    const auto add = [&](SequentialTest& test, std::uint32_t samples, std::uint32_t bad, double expected) {
-        test.add(samples - bad, bad, expected, mostGain);
-    };
-    add(track.failureTest, arrived.samples, arrived.failures, expectedFailures);
-    add(track.slowTest, arrived.samples, arrived.slow, expectedSlow);
-    add(track.ownFailureTest, track.own.samples, track.own.failures, expectedFailures);
-    add(track.ownSlowTest, track.own.samples, track.own.slow, expectedSlow);
-    updateSources(track);
+    for (std::size_t kind = 0; kind < KINDS; ++kind)
+        tests[kind].add(seen.samples - seen.bad[kind], seen.bad[kind], expected[kind], mostGain);
 }
 
 void Detector::updateSources(Track& track)
 {
     for (auto& [id, source] : track.sources) {
-        source.excess *= SOURCE_DECAY;
+        for (double& excess : source.excess)
+            excess *= SOURCE_DECAY;
         source.samples *= SOURCE_DECAY;
     }
     for (const auto& [id, tally] : track.arrived) {
         Source& source = track.sources[id];
-        const double expected = tally.samples * (track.expectedFailures + track.expectedSlow);
-        source.excess = std::max(0.0, source.excess + tally.failures + tally.slow - expected);
+        const ByKind bad = badOf(tally);
+        for (std::size_t kind = 0; kind < KINDS; ++kind)
+            source.excess[kind] += bad[kind] - tally.samples * track.expected[kind];
         source.samples += tally.samples;
     }
     track.arrived.clear();
     std::erase_if(track.sources, [](const auto& row) { return row.second.samples < MIN_SOURCE_SAMPLES; });
+    track.oddSource = loudestOf(track).oddSource;
 }
 
 // Trouble on most own paths that the fleet does not see is trouble of this entry instance.
@@ -294,8 +382,8 @@
     std::size_t troubled = 0;
     for (const auto& [id, track] : m_tracks) {
         const double threshold = ejectionThreshold(m_services[track.service].weighting) * OWN_THRESHOLD_SHARE;
-        const double own = std::max(track.ownFailureTest.score(), track.ownSlowTest.score());
-        const double fleet = std::max(track.failureTest.score(), track.slowTest.score());
+        const double own = scoreOf(track.ownTests);
+        const double fleet = scoreOf(track.tests);
         const bool othersSeeIt = track.sources.size() > track.sources.count(SELF);
         if (!othersSeeIt && own < threshold)
             continue;
@@ -314,9 +402,9 @@
     for (auto& [id, track] : m_tracks) {
         track.held += track.own;
         track.own = {};
-        if (track.held.empty())
+        if (track.held.empty() && !track.held.stalled)
             continue;
-        const bool accuses = track.held.failures || track.held.slow;
+        const bool accuses = track.held.failures || track.held.slow || track.held.stalled;
         if (!accuses && ++track.heldRounds < MAX_HELD_ROUNDS)
             continue;
         if (!m_distrustsSelf)
@@ -326,6 +414,31 @@
     }
 }
 
+std::size_t Detector::accusingKind(const Track& track)
+{
+    const auto lower = [](const SequentialTest& a, const SequentialTest& b) { return a.score() < b.score(); };
+    return static_cast<std::size_t>(std::max_element(track.tests.begin(), track.tests.end(), lower) - track.tests.begin());
+}
+
+Detector::Loudest Detector::loudestOf(const Track& track)
+{
+    const std::size_t kind = accusingKind(track);
+    Loudest loudest;
+    double sum = 0;
+    double most = 0;
+    for (const auto& [id, source] : track.sources) {
+        sum += source.excess[kind];
+        if (source.excess[kind] > most) {
+            most = source.excess[kind];
+            loudest.id = id;
+        }
+    }
+    loudest.share = most > 0 ? most / std::max(most, sum) : 0;
+    if (track.sources.size() > 1 && most >= MIN_ODD_EXCESS && loudest.share > ONE_SOURCE_SHARE)
+        loudest.oddSource = loudest.id;
+    return loudest;
+}
+
 Judgement Detector::judge(ServerId server) const
 {
     Judgement judgement;
@@ -333,24 +446,17 @@
     if (found == m_tracks.end())
         return judgement;
     const Track& track = found->second;
-    judgement.score = std::max(track.failureTest.score(), track.slowTest.score());
-    judgement.ownScore = std::max(track.ownFailureTest.score(), track.ownSlowTest.score());
+    judgement.score = scoreOf(track.tests);
+    judgement.ownScore = scoreOf(track.ownTests);
     judgement.sources = static_cast<std::uint32_t>(track.sources.size());
-    double sum = 0;
-    double loudest = 0;
-    for (const auto& [id, source] : track.sources) {
-        sum += source.excess;
-        if (source.excess > loudest) {
-            loudest = source.excess;
-            judgement.loudestIsSelf = id == SELF;
-        }
-    }
-    judgement.loudestShare = sum > 0 ? loudest / sum : 0;
-    const bool bySlowness = track.slowTest.score() > track.failureTest.score();
-    judgement.expectedShare = bySlowness ? track.expectedSlow : track.expectedFailures;
-    judgement.recentSamples = static_cast<std::uint64_t>(track.window.samples);
-    if (track.window.samples > 0)
-        judgement.badShare = (bySlowness ? track.window.slow : track.window.failures) / track.window.samples;
+    const Loudest loudest = loudestOf(track);
+    judgement.loudestIsSelf = loudest.id == SELF;
+    judgement.loudestShare = loudest.share;
+    const std::size_t kind = accusingKind(track);
+    judgement.expectedShare = track.expected[kind];
+    judgement.recentSamples = static_cast<std::uint64_t>(track.shortWindow.samples);
+    if (track.shortWindow.samples > 0)
+        judgement.badShare = track.shortWindow.bad[kind] / track.shortWindow.samples;
     return judgement;
 }
 
--- a/src/decision/ejector.cpp
+++ b/src/decision/ejector.cpp
@@ -18,7 +18,7 @@
     constexpr double TRIAL_THRESHOLD_SHARE = 0.4;
     constexpr double SUPPORT_THRESHOLD_SHARE = 0.5;
     constexpr double OWN_THRESHOLD_SHARE = 0.6;
-    constexpr double ONE_SOURCE_SHARE = 0.8;
+    constexpr double ONE_SOURCE_SHARE = 0.66;
     constexpr Duration CLAIM_LIFETIME = std::chrono::seconds(3);
     constexpr Duration LEAVE_TIME = std::chrono::seconds(60);
     constexpr Duration LEAVE_TELL_TIME = std::chrono::seconds(5);
@@ -233,6 +233,7 @@
     view.out += added;
     server.standing = Standing::Ejected;
     server.avoided = false;
+    m_detector.disregard(server.id);
     server.standingUntil = context.now() + holdTime(server.relapses);
     context.report(DecisionKind::Ejected, server.config.name.value(), describeEvidence(judgement),
         describeBound(view.threshold, view.out, view.budget), holdTime(server.relapses));
