--- a/include/cornelwind/sequential_test.h
+++ b/include/cornelwind/sequential_test.h
@@ -23,16 +23,16 @@
     ///
     /// @param good, bad numbers of outcomes
     /// @param p0 probability of a bad outcome at a healthy server, in (0, 1)
-    /// @param mostGain bound on the rise of the score by this call
+    /// @param mostGain bound on the rise of the score by this call; what exceeds
+    ///     it is added to the next call, where good outcomes can outweigh it
     void add(double good, double bad, double p0, double mostGain);
 
     /// @return the largest of the sums, in nats
     double score() const;
 
-    void reset() { m_sums = {}; }
-
 private:
     std::array<double, ALTERNATIVES.size()> m_sums {};
+    std::array<double, ALTERNATIVES.size()> m_deferred {};
 };
 
 } // namespace cornelwind
--- a/src/decision/detector.cpp
+++ b/src/decision/detector.cpp
@@ -16,8 +16,9 @@
     constexpr double PRIOR_SAMPLES_NOW = 4;
     // By kind: failures, slow answers, stalls.
     constexpr std::array PRIOR_BAD_SHARES { 0.01, 0.05, 0.02 };
-    // Fewer bad outcomes than this may be chance, not trouble common to all.
-    constexpr double MIN_COMMON_BAD = 3;
+    // Fewer bad outcomes beyond the usual number may be chance, not trouble common to all.
+    constexpr double MIN_COMMON_BAD = 2;
+    constexpr double COMMON_DEVIATIONS = 3;
     // Standard deviations by which an expectation errs to the safe side.
     constexpr double EXPECTATION_MARGIN = 1;
     constexpr double MAX_EXPECTED = 0.9;
@@ -33,14 +34,14 @@
     constexpr double MIN_SOURCE_SAMPLES = 0.5;
     constexpr std::size_t MIN_PATHS = 3;
     // Share of the accusing evidence from which it counts as that of one entry instance.
-    constexpr double ONE_SOURCE_SHARE = 0.66;
+    constexpr double ONE_SOURCE_SHARE = 0.75;
     // Bad outcomes beyond expectation from which one source can be odd.
-    constexpr double MIN_ODD_EXCESS = 1.5;
+    constexpr double MIN_ODD_EXCESS = 2.5;
     constexpr Duration SOURCE_MEMORY = std::chrono::minutes(10);
     constexpr double BUCKETS_PER_OCTAVE = 5;
 
     // Mean samples to a false ejection of one server, by weighting.
-    constexpr double SAMPLES_DETECTION_TIME = 3e5;
+    constexpr double SAMPLES_DETECTION_TIME = 1e5;
     constexpr double SAMPLES_BALANCED = 1e7;
     constexpr double SAMPLES_FALSE_EJECTIONS = 1e8;
     // Each kind of bad outcome with all alternatives.
@@ -54,6 +55,13 @@
         return std::min(share + EXPECTATION_MARGIN * std::sqrt(share / count), MAX_EXPECTED);
     }
 
+    // Whether there are more bad outcomes than a Poisson count of the usual share explains.
+    bool isUnusual(double bad, double samples, double usualShare)
+    {
+        const double usual = samples * usualShare;
+        return bad > usual + COMMON_DEVIATIONS * std::sqrt(usual) + MIN_COMMON_BAD;
+    }
+
 } // namespace
 
 double ejectionThreshold(Weighting weighting)
@@ -341,9 +349,10 @@
     ByKind expected {};
     for (std::size_t kind = 0; kind < KINDS; ++kind) {
         expected[kind] = expectedShare(longOthers.bad[kind], longOthers.samples, PRIOR_BAD_SHARES[kind], PRIOR_SAMPLES);
-        if (shortOthers.bad[kind] >= MIN_COMMON_BAD)
+        const double usual = expected[kind];
+        if (isUnusual(shortOthers.bad[kind], shortOthers.samples, usual))
             expected[kind] = std::max(expected[kind], expectedShare(shortOthers.bad[kind], shortOthers.samples, PRIOR_BAD_SHARES[kind], PRIOR_SAMPLES));
-        if (othersNow.bad[kind] >= MIN_COMMON_BAD)
+        if (isUnusual(othersNow.bad[kind], othersNow.samples, usual))
             expected[kind] = std::max(expected[kind], expectedShare(othersNow.bad[kind], othersNow.samples, PRIOR_BAD_SHARES[kind], PRIOR_SAMPLES_NOW));
     }
     return expected;
--- a/src/shell/http_server.cpp
+++ b/src/shell/http_server.cpp
@@ -48,6 +48,9 @@
     bool isAmbiguous(const Parser::value_type& request)
     {
         const auto encodings = request.count(http::field::transfer_encoding);
+        const auto length = request[http::field::content_length];
+        if (length.find_first_not_of("0123456789") != length.npos)
+            return true;
         if (encodings > 1 || request.count(http::field::content_length) > 1 || request.count(http::field::host) > 1)
             return true;
         if (!encodings)
--- /dev/null
+++ b/tests/caller_test.cpp
@@ -0,0 +1,226 @@
+// The caller's interface: refusals of bad input, and answers that are whole or none.
+#include "support/fleet.h"
+
+#include <catch2/catch.hpp>
+
+#include <string>
+#include <thread>
+#include <vector>
+
+using namespace cornelwind::test;
+
+namespace {
+
+const std::string LIMITS = "[limits]\nconnections = 20\nhead_bytes = 2048\nreceive_ms = 400\n";
+
+void startOne(Fleet& fleet)
+{
+    fleet.addServer({ "cat-1", "catalogue", 8, 1 });
+    fleet.publishSheet(fleet.sheet(1, "", R"([[rule]]
+method = "GET"
+path = "/catalogue"
+service = "catalogue"
+kind = "idempotent"
+time_limit_ms = 800
+tries = 1
+[[rule]]
+method = "POST"
+path = "/catalogue"
+service = "catalogue"
+kind = "idempotent"
+max_body_bytes = 100
+time_limit_ms = 800
+[[rule]]
+method = "GET"
+path = "/catalogue/small"
+service = "catalogue"
+kind = "idempotent"
+max_answer_bytes = 5
+tries = 1
+[[rule]]
+method = "POST"
+path = "/orders"
+service = "catalogue"
+kind = "at-most-once"
+max_body_bytes = 100
+time_limit_ms = 800
+)"));
+    fleet.addInstance("a", "leon", LIMITS);
+    fleet.startAll();
+}
+
+bool stillServes(const Fleet& fleet)
+{
+    const auto answer = call(fleet.callers("a"), "GET", "/catalogue/check");
+    return answer && answer->status() == 200;
+}
+
+} // namespace
+
+TEST_CASE("Malformed and oversized requests are refused as not run")
+{
+    Fleet fleet;
+    startOne(fleet);
+    struct Row {
+        const char* name;
+        std::string bytes;
+        int status;
+    };
+    const std::string post = "POST /catalogue/x HTTP/1.1\r\nHost: t\r\n";
+    const std::vector<Row> rows {
+        { "length and chunked", post + "Content-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", 400 },
+        { "chunked and length", post + "Transfer-Encoding: chunked\r\nContent-Length: 4\r\n\r\n0\r\n\r\n", 400 },
+        { "two lengths", post + "Content-Length: 4\r\nContent-Length: 5\r\n\r\nabcde", 400 },
+        { "two equal lengths", post + "Content-Length: 4\r\nContent-Length: 4\r\n\r\nabcd", 400 },
+        { "length list", post + "Content-Length: 4, 4\r\n\r\nabcd", 400 },
+        { "negative length", post + "Content-Length: -4\r\n\r\nabcd", 400 },
+        { "length with sign", post + "Content-Length: +4\r\n\r\nabcd", 400 },
+        { "unknown encoding", post + "Transfer-Encoding: gzip\r\n\r\nabcd", 400 },
+        { "encoding list", post + "Transfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n", 400 },
+        { "two encodings", post + "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", 400 },
+        { "encoding with odd space", post + "Transfer-Encoding : chunked\r\n\r\n0\r\n\r\n", 400 },
+        { "bad chunk size", post + "Transfer-Encoding: chunked\r\n\r\nzz\r\nab\r\n0\r\n\r\n", 400 },
+        { "huge chunk size", post + "Transfer-Encoding: chunked\r\n\r\nffffffffffffffffff\r\nab\r\n0\r\n\r\n", 400 },
+        { "two hosts", "GET /catalogue HTTP/1.1\r\nHost: a\r\nHost: b\r\n\r\n", 400 },
+        { "no version", "GET /catalogue\r\n\r\n", 400 },
+        { "not HTTP", std::string("\x16\x03\x01\x02\x00\x01\x00\x01\xfc\x03\r\n\r\n", 14), 400 },
+        { "large head", "GET /catalogue HTTP/1.1\r\nX: " + std::string(4000, 'x') + "\r\n\r\n", 431 },
+        { "large body", post + "Content-Length: 101\r\n\r\n" + std::string(101, 'x'), 413 },
+        { "large chunked body", post + "Transfer-Encoding: chunked\r\n\r\n65\r\n" + std::string(101, 'x') + "\r\n0\r\n\r\n", 413 },
+        { "slow head", "GET /catalogue HTTP/1.1\r\nHost: a\r\n", 408 },
+        { "slow body", post + "Content-Length: 50\r\n\r\nabc", 408 },
+    };
+    for (const Row& row : rows) {
+        INFO(row.name);
+        const std::string answer = exchangeRaw(fleet.callers("a"), row.bytes);
+        CHECK(answer.starts_with("HTTP/1.1 " + std::to_string(row.status) + " "));
+        CHECK(answer.find("Cornelwind-Outcome: not-run\r\n") != std::string::npos);
+        CHECK(answer.find("\"detail\":") != std::string::npos);
+        // Nothing after the refused request is taken for another one.
+        CHECK(answer.find("HTTP/1.1 ", 1) == std::string::npos);
+    }
+    CHECK(fleet.runs("/catalogue/x") == 0);
+    CHECK(stillServes(fleet));
+}
+
+TEST_CASE("Well-formed requests in every framing are served")
+{
+    Fleet fleet;
+    startOne(fleet);
+    const std::string close = "Host: t\r\nConnection: close\r\n";
+    for (const std::string& bytes : {
+             "POST /catalogue/y HTTP/1.1\r\n" + close + "Transfer-Encoding: chunked\r\n\r\n2\r\nab\r\n3\r\ncde\r\n0\r\n\r\n",
+             "POST /catalogue/y HTTP/1.1\r\n" + close + "Content-Length: 5\r\n\r\nabcde",
+             "POST /catalogue/y HTTP/1.1\r\n" + close + "Expect: 100-continue\r\nContent-Length: 5\r\n\r\nabcde" }) {
+        const std::string answer = exchangeRaw(fleet.callers("a"), bytes);
+        CHECK(answer.find("HTTP/1.1 200 ") != std::string::npos);
+        CHECK(answer.find("cat-1 ran POST /catalogue/y abcde\n") != std::string::npos);
+    }
+    const std::string one = "GET /catalogue/p1 HTTP/1.1\r\nHost: t\r\n\r\n";
+    const std::string two = "GET /catalogue/p2 HTTP/1.1\r\n" + close + "\r\n";
+    const std::string answers = exchangeRaw(fleet.callers("a"), one + two);
+    CHECK(answers.find("/catalogue/p1") < answers.find("/catalogue/p2"));
+    CHECK(answers.find("/catalogue/p2") != std::string::npos);
+}
+
+TEST_CASE("Requests without a way to run are refused with the right status")
+{
+    Fleet fleet;
+    startOne(fleet);
+    struct Row {
+        const char* name;
+        const char* method;
+        const char* target;
+        std::map<std::string, std::string> headers;
+        std::string body;
+        int status;
+        const char* outcome;
+    };
+    const std::string key = fleet.fetchKey("a");
+    const std::vector<Row> rows {
+        { "no rule", "GET", "/nothing", {}, "", 404, "not-run" },
+        { "no rule for the method", "DELETE", "/catalogue", {}, "", 404, "not-run" },
+        { "prefix inside a segment", "GET", "/cataloguex", {}, "", 404, "not-run" },
+        { "no key", "POST", "/orders", {}, "o", 428, "not-run" },
+        { "foreign key", "POST", "/orders", { { "Idempotency-Key", "8e03978e-40d5-43dd-bc93-6894a57f9324" } }, "o", 400, "not-run" },
+        { "forged key", "POST", "/orders", { { "Idempotency-Key", key.substr(0, key.size() - 1) + (key.back() == '0' ? "1" : "0") } }, "o", 400, "not-run" },
+        { "key of an unknown owner", "POST", "/orders", { { "Idempotency-Key", "cw1.z" + key.substr(key.find('.', 4)) } }, "o", 400, "not-run" },
+        { "key of an earlier start", "POST", "/orders", { { "Idempotency-Key", "cw1.a.0000000000000001.0000000000000001.00112233445566778899aabbccddeeff" } }, "o", 503, "unknown" },
+        { "no time left", "GET", "/catalogue", { { "Cornelwind-Deadline-Ms", "0" } }, "", 504, "not-run" },
+        { "keyed body too large", "POST", "/orders", { { "Idempotency-Key", key } }, std::string(101, 'x'), 413, "unknown" },
+        { "answer too large", "GET", "/catalogue/small", {}, "", 502, "ran" },
+    };
+    for (const Row& row : rows) {
+        INFO(row.name);
+        const auto answer = call(fleet.callers("a"), row.method, row.target, row.headers, row.body);
+        REQUIRE(answer);
+        CHECK(answer->status() == row.status);
+        CHECK(answer->header("cornelwind-outcome") == row.outcome);
+        CHECK(answer->header("content-type") == "application/problem+json");
+    }
+    const auto first = call(fleet.callers("a"), "POST", "/orders", { { "Idempotency-Key", key } }, "first");
+    REQUIRE(first);
+    CHECK(first->status() == 200);
+    const auto other = call(fleet.callers("a"), "POST", "/orders", { { "Idempotency-Key", key } }, "other");
+    REQUIRE(other);
+    CHECK(other->status() == 422);
+    CHECK(other->header("cornelwind-outcome") == "not-run");
+    CHECK(fleet.runs("other") == 0);
+}
+
+TEST_CASE("Answers that are cut, mismatched or absent are never passed on as whole")
+{
+    Fleet fleet;
+    startOne(fleet);
+    struct Row {
+        const char* name;
+        const char* fault;
+        int status;
+    };
+    for (const Row& row : { Row { "cut", "truncate_percent", 502 }, Row { "of another request", "mismatch_percent", 502 },
+             Row { "absent", "close_before_answer_percent", 502 }, Row { "stalled", "stall_percent", 504 } }) {
+        INFO(row.name);
+        fleet.controlServer("cat-1", std::string(row.fault) + "=100");
+        const auto answer = call(fleet.callers("a"), "GET", std::string("/catalogue/") + row.fault);
+        fleet.controlServer("cat-1", std::string(row.fault) + "=0");
+        REQUIRE(answer);
+        CHECK(answer->status() == row.status);
+        CHECK(answer->header("cornelwind-outcome") == "unknown");
+        CHECK(answer->body.find("ran GET") == std::string::npos);
+    }
+    CHECK(stillServes(fleet));
+}
+
+TEST_CASE("A caller that goes away cancels a look-up and not an order")
+{
+    Fleet fleet;
+    startOne(fleet);
+    fleet.controlServer("cat-1", "service_ms=300");
+    const std::string key = fleet.fetchKey("a");
+    CHECK_FALSE(call(fleet.callers("a"), "GET", "/catalogue/left", {}, "", 100));
+    CHECK_FALSE(call(fleet.callers("a"), "POST", "/orders", { { "Idempotency-Key", key } }, "left-order", 100));
+    const auto record = [&] { return call(fleet.serverAddress("cat-1"), "GET", "/standin/record")->body; };
+    CHECK(waitFor([&] { return record().find("cancelled GET /catalogue/left") != std::string::npos; }));
+    const auto again = call(fleet.callers("a"), "POST", "/orders", { { "Idempotency-Key", key } }, "left-order");
+    REQUIRE(again);
+    CHECK(again->status() == 200);
+    CHECK(fleet.runs("left-order") == 1);
+    CHECK(record().find("cancelled POST") == std::string::npos);
+}
+
+TEST_CASE("Connections beyond the limit are refused as not run")
+{
+    Fleet fleet;
+    startOne(fleet);
+    const auto [host, port] = splitAddress(fleet.callers("a"));
+    std::vector<Socket> held;
+    for (int i = 0; i < 20; ++i)
+        held.push_back(connectTo(host, port));
+    const auto refused = [&] {
+        const std::string answer = exchangeRaw(fleet.callers("a"), "GET /catalogue HTTP/1.1\r\nHost: t\r\n\r\n");
+        return answer.starts_with("HTTP/1.1 503 ") && answer.find("Cornelwind-Outcome: not-run") != std::string::npos;
+    };
+    CHECK(waitFor(refused));
+    held.clear();
+    CHECK(waitFor([&] { return stillServes(fleet); }));
+}
