--- a/tests/support/fleet.cpp
+++ b/tests/support/fleet.cpp
@@ -159,7 +159,18 @@
     call(m_platformAddress, "PUT", "/sheet", {}, text);
 }
 
-void Fleet::publishInstances(const std::map<std::string, std::string>& states)
+void Fleet::publishLeavingServer(const std::string& server)
+{
+    publishInstances({}, server);
+}
+
+void Fleet::addSeed(const std::string& name, const std::string& peer)
+{
+    std::string& settings = m_instances.at(name).settings;
+    settings.insert(settings.find("admin = "), "seeds = [\"" + peer + "\"]\n");
+}
+
+void Fleet::publishInstances(const std::map<std::string, std::string>& states, const std::string& leavingServer)
 {
     std::string list;
     for (const auto& [name, instance] : m_instances) {
@@ -170,7 +181,8 @@
         list += R"({"name":")" + name + R"(","zone":")" + instance.zone + R"(","address":")" + instance.peers + R"(","state":")"
             + (state == states.end() ? "live" : state->second) + R"("})";
     }
-    call(m_platformAddress, "PUT", "/instances", {}, "{\"instances\":[" + list + "],\"servers\":[]}");
+    const std::string servers = leavingServer.empty() ? "" : R"({"name":")" + leavingServer + R"(","state":"leaving"})";
+    call(m_platformAddress, "PUT", "/instances", {}, "{\"instances\":[" + list + "],\"servers\":[" + servers + "]}");
 }
 
 void Fleet::addInstance(const std::string& name, const std::string& zone, const std::string& moreSettings)
--- a/tests/support/fleet.h
+++ b/tests/support/fleet.h
@@ -56,11 +56,15 @@
     /// Services, rules and servers as TOML; the servers added so far are filled in.
     std::string sheet(int version, const std::string& serviceSettings = {}, const std::string& rules = {}) const;
     void publishSheet(const std::string& text);
-    void publishInstances(const std::map<std::string, std::string>& states = {});
+    /// Shows a backend server as leaving in the instance list.
+    void publishLeavingServer(const std::string& server);
+    void publishInstances(const std::map<std::string, std::string>& states = {}, const std::string& leavingServer = {});
 
     /// Prepares an entry instance without starting it.
     void addInstance(const std::string& name, const std::string& zone = "leon", const std::string& moreSettings = {});
     void start(const std::string& name);
+    /// Names a peer in the settings. Call before `start`.
+    void addSeed(const std::string& name, const std::string& peer);
     /// Starts all instances and waits until they are ready and know each other.
     void startAll();
     bool waitReady(const std::string& name, int timeLimitMs = 10000);
