--- a/fuzz/policy_fuzz.cpp
+++ b/fuzz/policy_fuzz.cpp
@@ -239,6 +239,12 @@
             RC_ASSERT(stopped == (++crashes[step % 5] == 2));
             RC_ASSERT(quarantine.stops(fingerprint, now) == (crashes[step % 5] >= 2));
             RC_ASSERT(!quarantine.stops(fingerprint, now + Quarantine::LIFETIME));
+            // A success takes back one crash, never a stop.
+            if (step % 7 == 0) {
+                quarantine.recordSuccess(fingerprint);
+                if (crashes[step % 5] < 2)
+                    crashes[step % 5] = 0;
+            }
         }
     });
     Quarantine quarantine;
--- a/include/cornelwind/quarantine.h
+++ b/include/cornelwind/quarantine.h
@@ -23,6 +23,10 @@
     /// @return whether the fingerprint is stopped by this crash
     bool recordCrash(Fingerprint fingerprint, Time now);
 
+    /// Notes that a backend server answered. A fingerprint that is not yet stopped starts anew,
+    /// so that a common look-up is not stopped for servers that died of something else.
+    void recordSuccess(Fingerprint fingerprint);
+
     /// @return whether requests of this fingerprint are refused
     bool stops(Fingerprint fingerprint, Time now) const;
 
--- a/src/decision/ejector.cpp
+++ b/src/decision/ejector.cpp
@@ -24,9 +24,13 @@
     constexpr Duration LEAVE_TELL_TIME = std::chrono::seconds(5);
     constexpr Duration WITHHOLD_REPORT_INTERVAL = std::chrono::seconds(10);
 
-    Duration holdTime(std::uint32_t relapses)
+    // Each hold is twice as long as the one before it.
+    Duration startHold(Server& server, Time now)
     {
-        return std::min(FIRST_HOLD * (1U << std::min(relapses, MAX_DOUBLINGS)), LONGEST_HOLD);
+        const Duration hold = std::min(FIRST_HOLD * (1U << std::min(server.relapses, MAX_DOUBLINGS)), LONGEST_HOLD);
+        ++server.relapses;
+        server.standingUntil = now + hold;
+        return hold;
     }
 
     std::string describeEvidence(const Judgement& judgement)
@@ -137,10 +141,9 @@
     const Judgement judgement = m_detector.judge(server.id);
     if (judgement.score >= view.threshold * TRIAL_THRESHOLD_SHARE) {
         server.standing = Standing::Ejected;
-        ++server.relapses;
-        server.standingUntil = context.now() + holdTime(server.relapses);
+        const Duration held = startHold(server, context.now());
         context.report(DecisionKind::Ejected, server.config.name.value(), "again on trial: " + describeEvidence(judgement),
-            describeBound(view.threshold * TRIAL_THRESHOLD_SHARE, view.out, view.budget), holdTime(server.relapses));
+            describeBound(view.threshold * TRIAL_THRESHOLD_SHARE, view.out, view.budget), held);
         return;
     }
     const bool proven = judgement.recentSamples >= TRIAL_SAMPLES && context.now() >= server.standingUntil;
@@ -233,10 +236,9 @@
     server.standing = Standing::Ejected;
     server.avoided = false;
     m_detector.disregard(server.id);
-    server.standingUntil = context.now() + holdTime(server.relapses);
+    const Duration held = startHold(server, context.now());
     context.report(DecisionKind::Ejected, server.config.name.value(), describeEvidence(judgement),
-        describeBound(view.threshold, view.out, view.budget), holdTime(server.relapses));
-    ++server.relapses;
+        describeBound(view.threshold, view.out, view.budget), held);
 }
 
 void Ejector::avoid(Server& server, ServiceView& view, const Judgement& judgement, Context& context)
@@ -247,10 +249,9 @@
         return withhold(server, view, judgement, context);
     view.out += server.config.slots.value();
     server.avoided = true;
-    server.standingUntil = context.now() + holdTime(server.relapses);
+    const Duration held = startHold(server, context.now());
     context.report(DecisionKind::PathAvoided, server.config.name.value(), "only seen from here: " + describeEvidence(judgement),
-        describeBound(view.threshold, view.out, view.budget), holdTime(server.relapses));
-    ++server.relapses;
+        describeBound(view.threshold, view.out, view.budget), held);
 }
 
 void Ejector::withhold(const Server& server, const ServiceView& view, const Judgement& judgement, Context& context)
--- a/src/decision/quarantine.cpp
+++ b/src/decision/quarantine.cpp
@@ -17,6 +17,13 @@
     return !stoppedBefore && entry.crashes >= CRASH_LIMIT;
 }
 
+void Quarantine::recordSuccess(Fingerprint fingerprint)
+{
+    const auto found = m_entries.find(fingerprint);
+    if (found != m_entries.end() && found->second.crashes < CRASH_LIMIT)
+        m_entries.erase(found);
+}
+
 bool Quarantine::stops(Fingerprint fingerprint, Time now) const
 {
     const Entry* entry = find(fingerprint, now);
--- a/src/decision/request_flow.cpp
+++ b/src/decision/request_flow.cpp
@@ -303,7 +303,7 @@
         &RequestFlow::onShed,
         &RequestFlow::onNotSent,
         &RequestFlow::onCrashed,
-        &RequestFlow::onBroken, // StaleConnection
+        &RequestFlow::onCrashed, // StaleConnection
         &RequestFlow::onBroken,
         &RequestFlow::onTooLarge,
         &RequestFlow::onTimedOut,
@@ -338,6 +338,7 @@
 void RequestFlow::onAnswered(Request& request, const ActiveTry& ended, const TryFinished& event, Context& context)
 {
     const bool failed = isServerError(*event.answer);
+    m_parts.quarantine.recordSuccess(request.fingerprint);
     m_parts.evidence.tryEnded(ended.id, failed ? Evidence::Failure : Evidence::Success, context.now());
     if (failed && !request.answered && (request.activeCount || retry(request, context)))
         return;
@@ -370,11 +371,13 @@
     settle(request, { outcome, ErrorKind::ServerUnreachable, nullptr }, RETRY_AFTER, context);
 }
 
-void RequestFlow::onCrashed(Request& request, const ActiveTry& ended, const TryFinished&, Context& context)
+void RequestFlow::onCrashed(Request& request, const ActiveTry& ended, const TryFinished& event, Context& context)
 {
-    // A request that crashed a server before accuses itself, not the next server.
+    // A request that crashed a server before accuses itself, not the next server;
+    // an idle connection may also have been closed just then.
     const bool suspect = m_parts.quarantine.suspects(request.fingerprint, context.now());
-    m_parts.evidence.tryEnded(ended.id, suspect ? Evidence::None : Evidence::Failure, context.now());
+    const bool stale = event.result == TryResult::StaleConnection;
+    m_parts.evidence.tryEnded(ended.id, suspect || stale ? Evidence::None : Evidence::Failure, context.now());
     m_parts.crashed(request.fingerprint, context);
     if (request.activeCount || retry(request, context))
         return;
@@ -383,10 +386,9 @@
     settle(request, { Outcome::Unknown, error, nullptr }, {}, context);
 }
 
-void RequestFlow::onBroken(Request& request, const ActiveTry& ended, const TryFinished& event, Context& context)
+void RequestFlow::onBroken(Request& request, const ActiveTry& ended, const TryFinished&, Context& context)
 {
-    const bool stale = event.result == TryResult::StaleConnection;
-    m_parts.evidence.tryEnded(ended.id, stale ? Evidence::None : Evidence::Failure, context.now());
+    m_parts.evidence.tryEnded(ended.id, Evidence::Failure, context.now());
     if (request.activeCount || retry(request, context))
         return;
     settle(request, { Outcome::Unknown, ErrorKind::ServerFailed, nullptr }, {}, context);
--- a/src/shell/commands.cpp
+++ b/src/shell/commands.cpp
@@ -12,6 +12,7 @@
 #include <boost/url.hpp>
 
 #include <fstream>
+#include <iomanip>
 #include <iostream>
 #include <sstream>
 
@@ -125,6 +126,11 @@
     std::string textOf(const json::object& object, const char* key)
     {
         const json::value& value = object.at(key);
+        if (value.is_double()) {
+            std::ostringstream text;
+            text << std::fixed << std::setprecision(1) << value.get_double();
+            return text.str();
+        }
         return value.is_string() ? std::string(value.get_string()) : json::serialize(value);
     }
 
@@ -153,7 +159,6 @@
 
     void printExplanation(const json::object& body)
     {
-        printServers(body);
         for (const json::value& entry : body.at("decisions").as_array()) {
             const json::object& decision = entry.as_object();
             std::cout << textOf(decision, "age_ms") << " ms ago: " << textOf(decision, "decision") << " " << textOf(decision, "subject") << ": "
@@ -162,6 +167,7 @@
                 std::cout << "; " << textOf(decision, "bound");
             std::cout << "\n";
         }
+        printServers(body);
     }
 
     void printText(const std::string& body)
