--- /dev/null
+++ b/benchmark/capacity.cpp
@@ -0,0 +1,198 @@
+// Slopes of memory and time through the public headers, at four sizes each.
+#include "cornelwind/detector.h"
+#include "cornelwind/ledger.h"
+#include "cornelwind/reducer.h"
+#include "cornelwind/router.h"
+#include "cornelwind/sheet.h"
+#include "peer.pb.h"
+
+#include <malloc.h>
+
+#include <chrono>
+#include <cstdio>
+#include <functional>
+#include <string>
+#include <vector>
+
+using namespace cornelwind;
+
+namespace {
+
+using Clock = std::chrono::steady_clock;
+
+struct Cost {
+    double bytes = 0;
+    double micros = 0;
+};
+
+double heapBytes()
+{
+    return static_cast<double>(mallinfo2().uordblks + mallinfo2().hblkhd);
+}
+
+/// Builds something of a size and keeps it while it is measured.
+using Build = std::function<std::shared_ptr<void>(std::size_t size)>;
+
+Cost measure(const Build& build, std::size_t size)
+{
+    const double before = heapBytes();
+    const auto start = Clock::now();
+    const auto kept = build(size);
+    const double micros = std::chrono::duration<double, std::micro>(Clock::now() - start).count();
+    return { heapBytes() - before, micros };
+}
+
+void printSlope(const char* what, const std::vector<std::size_t>& sizes, const Build& build)
+{
+    std::printf("%-22s", what);
+    Cost first;
+    Cost last;
+    for (const std::size_t size : sizes) {
+        last = measure(build, size);
+        if (size == sizes.front())
+            first = last;
+        std::printf(" %7zu: %8.0f KB %8.1f ms", size, last.bytes / 1024, last.micros / 1000);
+    }
+    const auto span = static_cast<double>(sizes.back() - sizes.front());
+    std::printf("  slope %.0f B, %.2f us\n", (last.bytes - first.bytes) / span, (last.micros - first.micros) / span);
+}
+
+std::string sheetText(std::uint64_t version, std::size_t services, std::size_t serversEach, std::size_t rules)
+{
+    std::string text = "version = " + std::to_string(version) + "\n";
+    for (std::size_t s = 0; s < services; ++s) {
+        text += "[[service]]\nname = \"s" + std::to_string(s) + "\"\n";
+        for (std::size_t i = 0; i < serversEach; ++i)
+            text += "[[service.server]]\nname = \"s" + std::to_string(s) + "-" + std::to_string(i) + "\"\naddress = \"10.0.0.1:80\"\nzone = \"z\"\nslots = 4\n";
+    }
+    for (std::size_t r = 0; r < rules; ++r)
+        text += "[[rule]]\nmethod = \"GET\"\npath = \"/r" + std::to_string(r) + "\"\nservice = \"s0\"\nkind = \"idempotent\"\n";
+    return text;
+}
+
+std::shared_ptr<Reducer> makeReducer()
+{
+    Settings settings;
+    settings.name = InstanceName { "a" };
+    settings.zone = ZoneName { "z" };
+    settings.peers = { "10.0.0.1", 1 };
+    return std::make_shared<Reducer>(Reducer::Builder().settings(settings).build());
+}
+
+std::shared_ptr<Reducer> adoptSheet(const std::string& text)
+{
+    auto reducer = makeReducer();
+    EffectList effects;
+    reducer->apply({ Time { std::chrono::seconds(1) }, 1, SheetFetched { text } }, effects);
+    return reducer;
+}
+
+std::shared_ptr<peer::Envelope> fromPeer(std::size_t number)
+{
+    auto message = std::make_shared<peer::Envelope>();
+    message->mutable_from()->set_name("p" + std::to_string(number));
+    message->mutable_from()->set_zone("z");
+    message->mutable_from()->set_address("10.1.0.1:9000");
+    message->mutable_from()->set_incarnation(number + 1);
+    message->mutable_from()->set_state(1);
+    return message;
+}
+
+InstancesListed listOf(std::size_t count)
+{
+    InstancesListed list;
+    for (std::size_t i = 0; i < count; ++i)
+        list.instances.push_back({ InstanceName { "p" + std::to_string(i) }, ZoneName { "z" }, { "10.1.0.1", 9000 }, false });
+    return list;
+}
+
+void printMessageSizes()
+{
+    peer::Envelope digest = *fromPeer(1);
+    digest.mutable_evidence()->set_sequence(1000);
+    const std::size_t empty = digest.ByteSizeLong();
+    for (std::uint64_t i = 0; i < 100; ++i) {
+        peer::EvidenceRow& row = *digest.mutable_evidence()->add_rows();
+        row.set_server(i * 0x9e3779b97f4a7c15);
+        row.set_samples(12);
+        row.set_slow(1);
+    }
+    std::printf("evidence message       %zu B and %.1f B for each server with news\n", empty, static_cast<double>(digest.ByteSizeLong() - empty) / 100);
+    peer::Envelope ping = *fromPeer(1);
+    ping.mutable_ping()->set_sequence(1000);
+    ping.mutable_ping()->mutable_sheet()->set_version(43000);
+    ping.mutable_ping()->mutable_sheet()->set_hash(1);
+    const std::size_t bare = ping.ByteSizeLong();
+    *ping.mutable_ping()->add_updates() = fromPeer(2)->from();
+    std::printf("ping or ack            %zu B and %zu B for each member change, at most 6\n", bare, ping.ByteSizeLong() - bare);
+}
+
+void printTick(std::size_t servers)
+{
+    auto reducer = adoptSheet(sheetText(1, std::max<std::size_t>(servers / 50, 1), std::min<std::size_t>(servers, 50), 10));
+    EffectList effects;
+    Time now { std::chrono::seconds(2) };
+    const int ticks = 500;
+    const auto start = Clock::now();
+    for (int i = 0; i < ticks; ++i) {
+        now += Millis { 10 };
+        effects.clear();
+        reducer->apply({ now, 1, Tick {} }, effects);
+    }
+    const double micros = std::chrono::duration<double, std::micro>(Clock::now() - start).count() / ticks;
+    std::printf("tick                   %7zu servers: %.1f us each, %.2f%% of a core at 100 a second\n", servers, micros, micros / 100);
+}
+
+} // namespace
+
+int main()
+{
+    printSlope("service of 10 servers", { 50, 100, 200, 400 }, [](std::size_t size) { return adoptSheet(sheetText(1, size, 10, 0)); });
+    printSlope("backend server", { 500, 1000, 2000, 4000 }, [](std::size_t size) { return adoptSheet(sheetText(1, size / 50, 50, 0)); });
+    printSlope("route", { 1000, 2000, 4000, 8000 }, [](std::size_t size) { return adoptSheet(sheetText(1, 1, 1, size)); });
+    printSlope("used key, 200 B answer", { 2000, 4000, 8000, 16000 }, [](std::size_t size) {
+        auto ledger = std::make_shared<Ledger>(Ledger::Limits { 1000000, 1000000000 });
+        for (std::uint64_t i = 0; i < size; ++i) {
+            ledger->begin(KeyId { i }, Fingerprint { i }, RequestId { i });
+            ledger->finish(KeyId { i }, { Outcome::Ran, ErrorKind::None, std::make_shared<Answer>(Answer { 200, {}, std::string(200, 'x') }) });
+        }
+        return ledger;
+    });
+    printSlope("peer", { 100, 400, 1600, 6400 }, [](std::size_t size) {
+        auto reducer = makeReducer();
+        EffectList effects;
+        reducer->apply({ Time { std::chrono::seconds(1) }, 1, listOf(size) }, effects);
+        for (std::size_t i = 0; i < size; ++i) {
+            auto message = fromPeer(i);
+            message->mutable_ack();
+            effects.clear();
+            reducer->apply({ Time { std::chrono::seconds(1) }, 1, PeerReceived { message } }, effects);
+        }
+        return reducer;
+    });
+    printSlope("evidence row merged", { 500, 1000, 2000, 4000 }, [](std::size_t size) {
+        auto detector = std::make_shared<Detector>();
+        Reasons reasons;
+        const auto sheet = readSheet(sheetText(1, size / 50, 50, 0), reasons);
+        detector->adopt(*sheet);
+        Digest digest { 1, {} };
+        for (const SheetService& service : sheet->services) {
+            for (const SheetServer& server : service.servers)
+                digest.rows.push_back({ serverIdOf(server.name), { 12, 0, 1, 0 } });
+        }
+        for (std::uint64_t source = 1; source <= 14; ++source)
+            detector->merge(source, 1, digest, Time {});
+        detector->evaluate(Time {});
+        return detector;
+    });
+    printSlope("change of a server", { 500, 1000, 2000, 4000 }, [](std::size_t size) {
+        auto reducer = adoptSheet(sheetText(1, size / 50, 50, 0));
+        EffectList effects;
+        reducer->apply({ Time { std::chrono::seconds(2) }, 1, SheetFetched { sheetText(2, size / 50, 50, 1) } }, effects);
+        return reducer;
+    });
+    printMessageSizes();
+    for (const std::size_t servers : { 50, 500, 2000, 5000 })
+        printTick(servers);
+    return 0;
+}
--- /dev/null
+++ b/benchmark/load.cpp
@@ -0,0 +1,224 @@
+// Sheds and latency of the choice of servers: slot shares against random and round robin.
+#include "cornelwind/admission.h"
+#include "cornelwind/server_pool.h"
+
+#include <algorithm>
+#include <array>
+#include <cmath>
+#include <cstdio>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <queue>
+#include <random>
+#include <vector>
+
+using namespace cornelwind;
+
+namespace {
+
+constexpr std::size_t INSTANCES = 15;
+constexpr Duration RUN_TIME = std::chrono::seconds(120);
+constexpr Duration SHED_PAUSE = std::chrono::milliseconds(20);
+constexpr Duration TICK = std::chrono::milliseconds(10);
+constexpr std::uint32_t MAX_SENDS = 3;
+constexpr double MEAN_SERVICE_MS = 40;
+
+struct Deployment {
+    const char* name;
+    std::uint32_t servers;
+    std::uint32_t slots;
+};
+
+struct Strategy {
+    const char* name;
+    std::unique_ptr<Selector> (*make)();
+};
+
+Sheet makeSheet(const Deployment& deployment)
+{
+    Sheet sheet;
+    SheetService& service = sheet.services.emplace_back();
+    service.name = ServiceName { deployment.name };
+    for (std::uint32_t i = 0; i < deployment.servers; ++i)
+        service.servers.push_back({ ServerName { deployment.name + std::to_string(i) }, {}, {}, Slots { deployment.slots } });
+    return sheet;
+}
+
+struct LoadResult {
+    std::uint64_t requests = 0;
+    std::uint64_t refused = 0;
+    std::uint64_t collisions = 0;
+    std::vector<double> latenciesMs;
+};
+
+/// 15 entry instances without shared state before servers that shed beyond their slots.
+class Simulation {
+public:
+    Simulation(const Deployment& deployment, const Strategy& strategy, double load, std::uint64_t seed)
+        : m_deployment(deployment)
+        , m_sheet(makeSheet(deployment))
+        , m_random(seed)
+        , m_arrivalsPerMs(load * deployment.servers * deployment.slots / MEAN_SERVICE_MS)
+    {
+        for (std::uint32_t i = 0; i < INSTANCES; ++i) {
+            Instance& instance = m_instances[i];
+            instance.pool = std::make_unique<ServerPool>(strategy.make());
+            instance.pool->adopt(m_sheet, Time {});
+            instance.pool->setInstances(i, INSTANCES);
+        }
+    }
+
+    LoadResult run()
+    {
+        Time nextArrival { std::chrono::seconds(1) };
+        Time nextTick = nextArrival;
+        const Time end = nextArrival + RUN_TIME;
+        while (m_now < end) {
+            const Time nextEnd = m_running.empty() ? Time::max() : m_running.top().at;
+            m_now = std::min({ nextArrival, nextEnd, nextTick });
+            if (m_now == nextEnd)
+                finish();
+            else if (m_now == nextTick) {
+                tick();
+                nextTick += TICK;
+            } else {
+                arrive();
+                nextArrival += micros(std::exponential_distribution<>(m_arrivalsPerMs)(m_random) * 1000);
+            }
+        }
+        return std::move(m_outcome);
+    }
+
+private:
+    struct Request {
+        Time arrived;
+        std::uint32_t sends = 0;
+    };
+    struct Instance {
+        std::unique_ptr<ServerPool> pool;
+        AdmissionQueue queue;
+    };
+    struct Running {
+        Time at;
+        std::size_t instance;
+        ServerId server;
+        RequestId request;
+
+        friend bool operator>(const Running& a, const Running& b) { return a.at > b.at; }
+    };
+
+    static Duration micros(double value) { return Duration { static_cast<std::int64_t>(value) + 1 }; }
+
+    void arrive()
+    {
+        const std::size_t index = m_random() % INSTANCES;
+        const RequestId id { ++m_last };
+        m_requests[id] = { m_now };
+        ++m_outcome.requests;
+        if (!m_instances[index].queue.size() && trySend(index, id))
+            return;
+        const SheetService& service = m_sheet.services[0];
+        if (!m_instances[index].queue.enter({ id, m_now + service.queueTime }, 1, service.queueLimit).admitted)
+            refuse(id);
+    }
+
+    bool trySend(std::size_t index, RequestId id)
+    {
+        Request& request = m_requests.at(id);
+        while (request.sends < MAX_SENDS) {
+            Server* server = m_instances[index].pool->pick(0, { m_now, m_random(), {}, true });
+            if (!server)
+                return false;
+            ++request.sends;
+            if (m_busy[server->id] < m_deployment.slots) {
+                ++m_busy[server->id];
+                m_instances[index].pool->begin(*server);
+                m_running.push({ m_now + micros(std::exponential_distribution<>(1 / MEAN_SERVICE_MS)(m_random) * 1000), index, server->id, id });
+                return true;
+            }
+            // Shed: the server has no slot left.
+            ++m_outcome.collisions;
+            server->busyUntil = m_now + SHED_PAUSE;
+        }
+        refuse(id);
+        return true;
+    }
+
+    void finish()
+    {
+        const Running ended = m_running.top();
+        m_running.pop();
+        --m_busy[ended.server];
+        m_instances[ended.instance].pool->end(ended.server);
+        const Request& request = m_requests.at(ended.request);
+        m_outcome.latenciesMs.push_back(std::chrono::duration<double, std::milli>(m_now - request.arrived).count());
+        m_requests.erase(ended.request);
+        pump(ended.instance);
+    }
+
+    void tick()
+    {
+        for (std::size_t i = 0; i < INSTANCES; ++i) {
+            for (const RequestId expired : m_instances[i].queue.expire(m_now))
+                refuse(expired);
+            pump(i);
+        }
+    }
+
+    void pump(std::size_t index)
+    {
+        AdmissionQueue& queue = m_instances[index].queue;
+        while (const auto next = queue.front()) {
+            if (!trySend(index, *next))
+                return;
+            queue.popFront();
+        }
+    }
+
+    void refuse(RequestId id)
+    {
+        ++m_outcome.refused;
+        m_requests.erase(id);
+    }
+
+    const Deployment& m_deployment;
+    Sheet m_sheet;
+    std::mt19937_64 m_random;
+    double m_arrivalsPerMs;
+    std::array<Instance, INSTANCES> m_instances;
+    std::unordered_map<ServerId, std::uint32_t> m_busy;
+    std::unordered_map<RequestId, Request> m_requests;
+    std::priority_queue<Running, std::vector<Running>, std::greater<>> m_running;
+    Time m_now;
+    std::uint64_t m_last = 0;
+    LoadResult m_outcome;
+};
+
+double quantile(std::vector<double>& values, double share)
+{
+    const auto position = values.begin() + static_cast<std::ptrdiff_t>(share * static_cast<double>(values.size() - 1));
+    std::nth_element(values.begin(), position, values.end());
+    return *position;
+}
+
+} // namespace
+
+int main()
+{
+    const std::vector<Deployment> deployments { { "bajio-orders", 15, 4 }, { "alps-issues", 8, 2 } };
+    const std::vector<Strategy> strategies { { "slot-shares", &makeSlotShareSelector }, { "random", &makeRandomSelector }, { "round-robin", &makeRoundRobinSelector } };
+    std::printf("%-14s %6s %-12s %10s %12s %8s %8s\n", "service", "load", "strategy", "refused %", "collisions %", "p50 ms", "p99 ms");
+    for (const Deployment& deployment : deployments) {
+        for (const double load : { 0.5, 0.8, 1.1 }) {
+            for (const Strategy& strategy : strategies) {
+                LoadResult outcome = Simulation(deployment, strategy, load, 1).run();
+                const auto requests = static_cast<double>(outcome.requests);
+                std::printf("%-14s %5.0f%% %-12s %10.2f %12.2f %8.1f %8.1f\n", deployment.name, load * 100, strategy.name,
+                    100 * static_cast<double>(outcome.refused) / requests, 100 * static_cast<double>(outcome.collisions) / requests,
+                    quantile(outcome.latenciesMs, 0.5), quantile(outcome.latenciesMs, 0.99));
+            }
+        }
+    }
+    return 0;
+}
--- /dev/null
+++ b/benchmark/path.cpp
@@ -0,0 +1,98 @@
+// Requests per second per core of one entry instance, and the time that it adds, against the stand-in alone.
+#include "support/fleet.h"
+
+#include <algorithm>
+#include <chrono>
+#include <cstdio>
+#include <mutex>
+#include <string>
+#include <thread>
+#include <vector>
+
+using namespace cornelwind::test;
+using Clock = std::chrono::steady_clock;
+
+namespace {
+
+constexpr int CONNECTIONS = 16;
+constexpr auto ROUND_TIME = std::chrono::milliseconds(1500);
+constexpr int ROUNDS = 3;
+
+struct Load {
+    double perSecond = 0;
+    std::vector<double> micros;
+
+    double quantile(double share)
+    {
+        std::sort(micros.begin(), micros.end());
+        return micros.empty() ? 0 : micros[static_cast<std::size_t>(share * static_cast<double>(micros.size() - 1))];
+    }
+};
+
+/// Requests over kept connections; `perSecond` 0 sends each as soon as the last was answered.
+Load drive(const std::string& address, double perSecond)
+{
+    Load load;
+    std::mutex mutex;
+    std::vector<std::thread> threads;
+    const auto start = Clock::now();
+    for (int i = 0; i < CONNECTIONS; ++i) {
+        threads.emplace_back([&, i] {
+            const auto [host, port] = splitAddress(address);
+            const Socket socket = connectTo(host, port);
+            const std::string request = "GET /catalogue/x HTTP/1.1\r\nHost: t\r\n\r\n";
+            const auto gap = perSecond > 0 ? std::chrono::nanoseconds(static_cast<long long>(1e9 * CONNECTIONS / perSecond)) : std::chrono::nanoseconds(0);
+            auto due = start + gap * i / CONNECTIONS;
+            std::vector<double> micros;
+            std::string rest;
+            while (due < start + ROUND_TIME) {
+                std::this_thread::sleep_until(due);
+                const auto sent = Clock::now();
+                if (!writeAll(socket, request) || !readMessage(socket, rest))
+                    break;
+                micros.push_back(std::chrono::duration<double, std::micro>(Clock::now() - sent).count());
+                due = std::max(due + gap, perSecond > 0 ? due : Clock::now());
+            }
+            const std::lock_guard lock(mutex);
+            load.micros.insert(load.micros.end(), micros.begin(), micros.end());
+        });
+    }
+    for (std::thread& thread : threads)
+        thread.join();
+    load.perSecond = static_cast<double>(load.micros.size()) / std::chrono::duration<double>(Clock::now() - start).count();
+    return load;
+}
+
+} // namespace
+
+int main()
+{
+    Fleet fleet;
+    fleet.addServer({ "cat-1", "catalogue", 64, 0 });
+    fleet.publishSheet(fleet.sheet(1));
+    fleet.addInstance("a");
+    fleet.startAll();
+    const std::string direct = fleet.serverAddress("cat-1");
+    const std::string through = fleet.callers("a");
+
+    drive(through, 0);
+    const double before = fleet.instance("a").cpuSeconds();
+    Load saturated = drive(through, 0);
+    const double cpu = fleet.instance("a").cpuSeconds() - before;
+    const double half = saturated.perSecond / 2;
+    std::printf("saturated: %.0f requests/s with %.2f s of processor time in %.2f s\n", saturated.perSecond, cpu, std::chrono::duration<double>(ROUND_TIME).count());
+
+    Load directSum;
+    Load throughSum;
+    for (int round = 0; round < ROUNDS; ++round) {
+        const Load one = drive(direct, half);
+        const Load two = drive(through, half);
+        directSum.micros.insert(directSum.micros.end(), one.micros.begin(), one.micros.end());
+        throughSum.micros.insert(throughSum.micros.end(), two.micros.begin(), two.micros.end());
+    }
+    std::printf("at %.0f requests/s: direct p50 %.0f p99 %.0f us, through p50 %.0f p99 %.0f us\n", half, directSum.quantile(0.5), directSum.quantile(0.99),
+        throughSum.quantile(0.5), throughSum.quantile(0.99));
+    std::printf("path: per_core=%.0f added_p50_ms=%.3f added_p99_ms=%.3f\n", static_cast<double>(saturated.micros.size()) / cpu,
+        (throughSum.quantile(0.5) - directSum.quantile(0.5)) / 1000, (throughSum.quantile(0.99) - directSum.quantile(0.99)) / 1000);
+    return 0;
+}
--- /dev/null
+++ b/scripts/benchmark.sh
@@ -0,0 +1,14 @@
+#!/usr/bin/env bash
+# Runs a measurement: benchmark.sh detection|load|path|fleet|capacity [OPTION...]
+set -euo pipefail
+cd "$(dirname "$0")/.."
+case "${1:-}" in
+detection | load | path | fleet | capacity) ;;
+*)
+    echo "usage: $0 detection|load|path|fleet|capacity [OPTION...]" >&2
+    exit 2
+    ;;
+esac
+scripts/install.sh
+scripts/build.sh
+exec "build/benchmark/$1_benchmark" "${@:2}"
--- a/tests/support/fleet.cpp
+++ b/tests/support/fleet.cpp
@@ -86,6 +86,21 @@
     return WIFEXITED(state) ? std::optional(WEXITSTATUS(state)) : std::nullopt;
 }
 
+double Process::cpuSeconds() const
+{
+    std::ifstream file("/proc/" + std::to_string(m_pid) + "/stat");
+    std::string text((std::istreambuf_iterator<char>(file)), {});
+    // User and system time are the 12th and 13th fields after the name.
+    std::istringstream fields(text.substr(text.rfind(')') + 2));
+    std::string skipped;
+    for (int i = 0; i < 11; ++i)
+        fields >> skipped;
+    double user = 0;
+    double system = 0;
+    fields >> user >> system;
+    return (user + system) / static_cast<double>(sysconf(_SC_CLK_TCK));
+}
+
 bool waitFor(const std::function<bool()>& condition, int timeLimitMs)
 {
     const auto until = std::chrono::steady_clock::now() + std::chrono::milliseconds(timeLimitMs);
@@ -164,6 +179,12 @@
     publishInstances({}, server);
 }
 
+void Fleet::cutFromPlatform(const std::string& name)
+{
+    std::string& settings = m_instances.at(name).settings;
+    settings.replace(settings.find(m_platformAddress), m_platformAddress.size(), m_host + ":1");
+}
+
 void Fleet::addSeed(const std::string& name, const std::string& peer)
 {
     std::string& settings = m_instances.at(name).settings;
--- a/tests/support/fleet.h
+++ b/tests/support/fleet.h
@@ -28,6 +28,8 @@
     /// @return its exit code, or nothing after the time limit or a signal
     std::optional<int> wait(int timeLimitMs);
     pid_t pid() const { return m_pid; }
+    /// @return processor time that it has used
+    double cpuSeconds() const;
 
 private:
     pid_t m_pid = -1;
@@ -63,6 +65,8 @@
     /// Prepares an entry instance without starting it.
     void addInstance(const std::string& name, const std::string& zone = "leon", const std::string& moreSettings = {});
     void start(const std::string& name);
+    /// Leads the settings to a platform that does not answer. Call before `start`.
+    void cutFromPlatform(const std::string& name);
     /// Names a peer in the settings. Call before `start`.
     void addSeed(const std::string& name, const std::string& peer);
     /// Starts all instances and waits until they are ready and know each other.
