Wait for a slot of the own share before borrowing one

Cause: an entry instance whose reserved slots were taken sent at once to another's, which is busy at 80% load more often than not; a shed ends an at-most-once request. Ruled out: more choices for the borrowed slot (the instance cannot know who is busy; digests are 250 ms old, a request takes 40). Slots of servers that are out are no longer divided. An at-most-once request waits 3 median times, a look-up 1.

--- a/benchmark/load.cpp
+++ b/benchmark/load.cpp
@@ -33,6 +33,8 @@
 struct Strategy {
     const char* name;
     std::unique_ptr<Selector> (*make)();
+    /// Time that a request waits for a slot of its own entry instance.
+    Duration borrowAfter {};
 };
 
 Sheet makeSheet(const Deployment& deployment)
@@ -57,6 +59,7 @@
 public:
     Simulation(const Deployment& deployment, const Strategy& strategy, double load, std::uint64_t seed)
         : m_deployment(deployment)
+        , m_strategy(strategy)
         , m_sheet(makeSheet(deployment))
         , m_random(seed)
         , m_arrivalsPerMs(load * deployment.servers * deployment.slots / MEAN_SERVICE_MS)
@@ -127,7 +130,7 @@
     {
         Request& request = m_requests.at(id);
         while (request.sends < MAX_SENDS) {
-            Server* server = m_instances[index].pool->pick(0, { m_now, m_random(), {}, true });
+            Server* server = m_instances[index].pool->pick(0, { m_now, m_random(), {}, true, m_now - request.arrived >= m_strategy.borrowAfter });
             if (!server)
                 return false;
             ++request.sends;
@@ -183,6 +186,7 @@
     }
 
     const Deployment& m_deployment;
+    const Strategy& m_strategy;
     Sheet m_sheet;
     std::mt19937_64 m_random;
     double m_arrivalsPerMs;
@@ -207,7 +211,7 @@
 int main()
 {
     const std::vector<Deployment> deployments { { "bajio-orders", 15, 4 }, { "alps-issues", 8, 2 } };
-    const std::vector<Strategy> strategies { { "slot-shares", &makeSlotShareSelector }, { "random", &makeRandomSelector }, { "round-robin", &makeRoundRobinSelector } };
+    const std::vector<Strategy> strategies { { "own-40ms", &makeSlotShareSelector, Millis { 40 } }, { "own-100ms", &makeSlotShareSelector, Millis { 100 } }, { "own-first", &makeSlotShareSelector }, { "random", &makeRandomSelector }, { "round-robin", &makeRoundRobinSelector } };
     std::printf("%-14s %6s %-12s %10s %12s %8s %8s\n", "service", "load", "strategy", "refused %", "collisions %", "p50 ms", "p99 ms");
     for (const Deployment& deployment : deployments) {
         for (const double load : { 0.5, 0.8, 1.1 }) {
--- a/include/cornelwind/server_pool.h
+++ b/include/cornelwind/server_pool.h
@@ -57,6 +57,8 @@
     std::span<const ServerId> excluded;
     /// Whether the request may run on a server in trial.
     bool trialAllowed = false;
+    /// Whether it may take a slot that is reserved for another entry instance.
+    bool borrowAllowed = true;
 };
 
 /// The backend servers of the sheet in force, by service.
@@ -77,6 +79,9 @@
     /// @param service index into the sheet in force
     Server* pick(std::uint32_t service, const PickContext& context);
 
+    /// Divides the slots of the servers that serve now. Call it after standings changed.
+    void reshare();
+
     /// @return whether any server of the service takes work at all, busy or not
     bool hasUsable(std::uint32_t service) const;
 
@@ -92,9 +97,9 @@
     std::size_t size() const { return m_servers.size(); }
 
 private:
+    bool hasOwnSlot(std::uint32_t service) const;
     bool accepts(const Server& server, const PickContext& context) const;
     std::uint32_t limit(const Server& server, Time now) const;
-    void reshare();
 
     std::unordered_map<ServerId, Server> m_servers;
     std::vector<std::vector<Server*>> m_services;
--- a/src/config/toml_fault.h
+++ b/src/config/toml_fault.h
@@ -15,8 +15,8 @@
 // The library asserts on some malformed keys. Foreign text must not end the
 // process, so a failed assertion becomes an exception that parseToml catches.
 #undef NDEBUG
-#define TOML_ASSERT(condition)                      \
-    do {                                            \
-        if (!(condition))                           \
+#define TOML_ASSERT(condition)                       \
+    do {                                             \
+        if (!(condition))                            \
             throw cornelwind::TomlFault(#condition); \
     } while (false)
--- a/src/decision/evidence_sink.h
+++ b/src/decision/evidence_sink.h
@@ -16,11 +16,14 @@
     None,
 };
 
-/// Receives what happens to sends.
+/// Receives what happens to sends, and tells what is usual.
 class EvidenceSink {
 public:
     virtual ~EvidenceSink() = default;
     virtual void trySent(TryId id, ServerId server, Time now) = 0;
+    /// @param service index into the sheet in force
+    /// @return median time of an answer, or zero while it is not known
+    virtual Duration typicalTime(std::uint32_t service) const = 0;
     virtual void tryEnded(TryId id, Evidence evidence, Time now) = 0;
 };
 
--- a/src/decision/health.cpp
+++ b/src/decision/health.cpp
@@ -73,11 +73,26 @@
             m_distrusted ? "most paths fail from here only" : "paths work again", "more than half of the paths");
     }
     m_ejector.evaluate(*m_sheet, view, context);
+    reshareIfChanged();
     m_parts.quarantine.expire(context.now());
     sendEvidence(digest, context);
     probeQuietServers(context);
 }
 
+// The slots of servers that are out are not divided, so that no share is without use.
+void Health::reshareIfChanged()
+{
+    std::size_t serving = 0;
+    for (std::uint32_t i = 0; i < m_parts.pool.serviceCount(); ++i) {
+        for (const Server* server : m_parts.pool.servers(i))
+            serving += server->standing == Standing::Serving;
+    }
+    if (serving == m_servingCount)
+        return;
+    m_servingCount = serving;
+    m_parts.pool.reshare();
+}
+
 void Health::sendEvidence(const Digest& digest, Context& context)
 {
     auto message = makeEvidence(digest, context);
--- a/src/decision/health.h
+++ b/src/decision/health.h
@@ -46,6 +46,7 @@
 
     void trySent(TryId id, ServerId server, Time now) override;
     void tryEnded(TryId id, Evidence evidence, Time now) override;
+    Duration typicalTime(std::uint32_t service) const override { return m_detector.median(service); }
 
     Judgement judge(ServerId server) const { return m_detector.judge(server); }
     FleetView fleetView() const;
@@ -55,6 +56,7 @@
     std::shared_ptr<peer::Envelope> makeEvidence(const Digest& digest, Context& context);
     void probeQuietServers(Context& context);
     void recordCrash(Fingerprint fingerprint, Context& context);
+    void reshareIfChanged();
 
     Parts m_parts;
     Detector m_detector;
@@ -63,6 +65,7 @@
     std::vector<Fingerprint> m_crashesToTell;
     Time m_nextEvaluation;
     Time m_nextProbe;
+    std::size_t m_servingCount = 0;
     bool m_toldEjections = false;
     bool m_distrusted = false;
 };
--- a/src/decision/request_flow.cpp
+++ b/src/decision/request_flow.cpp
@@ -12,6 +12,9 @@
     // A try shorter than this is not worth its cost.
     constexpr Millis MIN_TRY_TIME { 5 };
     constexpr std::uint8_t MAX_CONNECT_TRIES = 3;
+    // Median answer times that a request waits for a slot of its own entry instance.
+    constexpr double AT_MOST_ONCE_BORROW_MEDIANS = 3;
+    constexpr double IDEMPOTENT_BORROW_MEDIANS = 1;
     constexpr std::uint16_t FIRST_SERVER_ERROR = 500;
 
     bool isServerError(const Answer& answer)
@@ -107,6 +110,7 @@
     if (!request || request->phase != Phase::Receiving)
         return;
     request->fingerprint = event.fingerprint;
+    request->admittedAt = context.now();
     m_timers.push({ request->deadline, request->id, false });
     if (request->key)
         return beginKeyed(*request, context);
@@ -222,6 +226,7 @@
     pick.random = context.random();
     pick.excluded = { request.tried.data(), request.triedCount };
     pick.trialAllowed = request.rule->kind == RequestKind::Idempotent;
+    pick.borrowAllowed = mayBorrow(request, context.now());
     Server* server = m_parts.pool.pick(*request.service->index, pick);
     if (!server)
         return false;
@@ -229,6 +234,16 @@
     return true;
 }
 
+// A borrowed slot may be taken, and a shed ends an at-most-once request: it waits longer for a slot of its own.
+bool RequestFlow::mayBorrow(const Request& request, Time now) const
+{
+    if (request.sendCount)
+        return true;
+    const double patience = request.rule->kind == RequestKind::AtMostOnce ? AT_MOST_ONCE_BORROW_MEDIANS : IDEMPOTENT_BORROW_MEDIANS;
+    const auto median = static_cast<double>(m_parts.evidence.typicalTime(*request.service->index).count());
+    return now - request.admittedAt >= Duration { static_cast<std::int64_t>(patience * median) };
+}
+
 void RequestFlow::send(Request& request, Server& server, Context& context)
 {
     const TryId id { ++m_lastTry };
--- a/src/decision/request_flow.h
+++ b/src/decision/request_flow.h
@@ -129,6 +129,7 @@
         const SheetRule* rule = nullptr;
         ServicePtr service;
         Phase phase = Phase::Receiving;
+        Time admittedAt;
         /// When the caller is answered at the latest.
         Time deadline;
         /// When the work itself ends at the latest.
@@ -172,6 +173,7 @@
     void admit(Request& request, Context& context);
     std::optional<Refusal> refusalBeforeSend(const Request& request, Time now) const;
     bool trySend(Request& request, Context& context);
+    bool mayBorrow(const Request& request, Time now) const;
     void send(Request& request, Server& server, Context& context);
     void pump(Service& service, Context& context);
     bool retry(Request& request, Context& context);
--- a/src/decision/server_pool.cpp
+++ b/src/decision/server_pool.cpp
@@ -71,8 +71,11 @@
 Server* ServerPool::pick(std::uint32_t service, const PickContext& context)
 {
     m_candidates.clear();
+    // With no slot of its own, an instance can only borrow.
+    const bool borrows = context.borrowAllowed || !hasOwnSlot(service);
     for (const Server* server : m_services[service]) {
-        if (accepts(*server, context))
+        const bool reserved = server->ownSlots <= server->inFlight && server->standing != Standing::Trial;
+        if (accepts(*server, context) && (borrows || !reserved))
             m_candidates.push_back({ server->id, server->inFlight, server->ownSlots, server->config.slots.value() });
     }
     const auto position = m_selector->select(m_candidates, context.random);
@@ -87,6 +90,12 @@
     });
 }
 
+bool ServerPool::hasOwnSlot(std::uint32_t service) const
+{
+    const auto& members = m_services[service];
+    return std::any_of(members.begin(), members.end(), [](const Server* server) { return server->ownSlots > 0; });
+}
+
 Server* ServerPool::find(ServerId id)
 {
     const auto found = m_servers.find(id);
@@ -147,7 +156,7 @@
     for (const auto& members : m_services) {
         all.clear();
         for (const Server* server : members)
-            all.push_back({ server->id, 0, 0, server->config.slots.value() });
+            all.push_back({ server->id, 0, 0, server->standing == Standing::Serving ? server->config.slots.value() : 0 });
         shareSlots(all, m_rank, m_instances);
         for (std::size_t i = 0; i < members.size(); ++i)
             members[i]->ownSlots = all[i].ownSlots;
