--- a/src/decision/detector.cpp
+++ b/src/decision/detector.cpp
@@ -28,7 +28,9 @@
     constexpr Duration MIN_SLOW_LIMIT = std::chrono::milliseconds(10);
     constexpr Duration DEFAULT_SLOW_LIMIT = std::chrono::milliseconds(1000);
     constexpr double MIN_LATENCY_SAMPLES = 20;
-    // Rounds for which a row without bad outcomes may be held back from the peers.
+    // A share of slow answers below one in this many is usual.
+    constexpr std::uint32_t SLOW_NEWS_DIVISOR = 8;
+    // Rounds for which a row without news may be held back from the peers.
     constexpr std::uint32_t MAX_HELD_ROUNDS = 4;
     constexpr std::uint32_t MAX_STALLED = 10000;
     constexpr double MIN_SOURCE_SAMPLES = 0.5;
@@ -413,7 +415,7 @@
         track.own = {};
         if (track.held.empty() && !track.held.stalled)
             continue;
-        const bool accuses = track.held.failures || track.held.slow || track.held.stalled;
+        const bool accuses = track.held.failures || track.held.stalled || track.held.slow * SLOW_NEWS_DIVISOR > track.held.samples;
         if (!accuses && ++track.heldRounds < MAX_HELD_ROUNDS)
             continue;
         if (!m_distrustsSelf)
--- a/tests/fleet_test.cpp
+++ b/tests/fleet_test.cpp
@@ -5,6 +5,8 @@
 
 #include <atomic>
 #include <csignal>
+#include <cstdlib>
+#include <map>
 #include <mutex>
 #include <string>
 #include <thread>
@@ -223,6 +225,74 @@
     CHECK(inForce(fleet, "b", 6));
 }
 
+TEST_CASE("Operators who publish two sheets at once do not make any instance go back")
+{
+    Fleet fleet;
+    startThree(fleet);
+    std::thread first([&] {
+        for (int version = 6; version < 30; version += 2)
+            fleet.publishSheet(fleet.sheet(version));
+    });
+    std::thread second([&] {
+        for (int version = 29; version > 6; version -= 2)
+            fleet.publishSheet(fleet.sheet(version));
+    });
+    std::map<std::string, int> last;
+    const auto look = [&] {
+        for (const std::string& name : THREE) {
+            const std::string status = fleet.status(name);
+            const std::size_t at = status.find("\"sheet_version\":");
+            REQUIRE(at != std::string::npos);
+            const int version = std::atoi(status.c_str() + at + 16);
+            CHECK(version >= last[name]);
+            last[name] = version;
+        }
+        return last["a"] == 30 && last["b"] == 30 && last["c"] == 30;
+    };
+    waitFor(look, 300);
+    first.join();
+    second.join();
+    fleet.publishSheet(fleet.sheet(30));
+    CHECK(waitFor(look));
+}
+
+TEST_CASE("Each part of a divided fleet serves what it can prove, and healing loses nothing")
+{
+    Fleet fleet;
+    fleet.addServer({ "cat-1", "catalogue" });
+    fleet.addServer({ "ord-1", "orders" });
+    fleet.publishSheet(fleet.sheet(5));
+    for (const std::string& name : THREE)
+        fleet.addInstance(name);
+    const std::vector<std::string> relays { fleet.relayPeers("a", "c"), fleet.relayPeers("b", "c"), fleet.relayPeers("c", "a"), fleet.relayPeers("c", "b") };
+    fleet.startAll();
+    const std::string ofA = fleet.fetchKey("a");
+    const std::string ofC = fleet.fetchKey("c");
+    for (const std::string& relay : relays)
+        Fleet::controlRelay(relay, "forward=cut");
+    CHECK(fleet.waitMembers("c", 0));
+    CHECK(fleet.waitMembers("a", 1));
+    const auto send = [&](const std::string& instance, const std::string& key, const std::string& order) {
+        return call(fleet.callers(instance), "POST", "/orders", { { "Idempotency-Key", key } }, order);
+    };
+    CHECK(send("b", ofA, "of-a")->status() == 200);
+    CHECK(send("a", ofC, "of-c")->header("cornelwind-outcome") == "unknown");
+    CHECK(send("c", ofA, "of-a")->header("cornelwind-outcome") == "unknown");
+    CHECK(send("c", ofC, "of-c")->status() == 200);
+    for (const std::string& name : THREE)
+        CHECK(serves(fleet, name));
+    for (const std::string& relay : relays)
+        Fleet::controlRelay(relay, "forward=pass");
+    for (const std::string& name : THREE)
+        CHECK(fleet.waitMembers(name, 2));
+    for (const std::string& name : THREE) {
+        CHECK(send(name, ofA, "of-a")->status() == 200);
+        CHECK(send(name, ofC, "of-c")->status() == 200);
+    }
+    CHECK(fleet.runs("of-a") == 1);
+    CHECK(fleet.runs("of-c") == 1);
+}
+
 TEST_CASE("A dead member is noticed, and its return as another start as well")
 {
     Fleet fleet;
--- a/tests/support/fleet.h
+++ b/tests/support/fleet.h
@@ -79,6 +79,7 @@
     std::string admin(const std::string& name) const { return m_instances.at(name).admin; }
     std::string peers(const std::string& name) const { return m_instances.at(name).peers; }
     std::string settingsFile(const std::string& name) const;
+    std::string logFile(const std::string& name) const { return m_folder + "/" + name + ".log"; }
     std::string serverAddress(const std::string& name) const { return m_servers.at(name).address; }
     std::string platform() const { return m_platformAddress; }
 
--- a/tests/support/net.h
+++ b/tests/support/net.h
@@ -51,6 +51,8 @@
 Socket listenOn(const std::string& host, std::uint16_t port);
 std::uint16_t portOf(const Socket& socket);
 Socket connectTo(const std::string& host, std::uint16_t port);
+/// @return a descriptor of the next connection, or -1 once the listener is shut down
+int acceptOn(const Socket& listener);
 bool writeAll(const Socket& socket, const std::string& text);
 
 /// Reads one message with a stated length.
