--- a/benchmark/path.cpp
+++ b/benchmark/path.cpp
@@ -35,6 +35,7 @@
     Load load;
     std::mutex mutex;
     std::vector<std::thread> threads;
+    threads.reserve(CONNECTIONS);
     const auto start = Clock::now();
     for (int i = 0; i < CONNECTIONS; ++i) {
         threads.emplace_back([&, i] {
--- a/src/shell/instance.cpp
+++ b/src/shell/instance.cpp
@@ -246,6 +246,7 @@
     figures.connections = m_callerServer.connections();
     figures.peerBytesSent = m_peerSide.link().bytesSent();
     figures.peerBytesReceived = m_peerSide.link().bytesReceived();
+    figures.controlBytesSent = m_peerSide.controlBytes();
     figures.platformCalls = m_platform ? m_platform->calls() : 0;
     figures.spansDropped = m_tracer.dropped();
     return figures;
--- a/src/shell/metrics.cpp
+++ b/src/shell/metrics.cpp
@@ -96,6 +96,7 @@
     families.gauge("cornelwind_connections", "Connections of callers.", static_cast<double>(figures.connections));
     families.counter("cornelwind_peer_sent_bytes_total", "Bytes sent to other entry instances.", figures.peerBytesSent);
     families.counter("cornelwind_peer_received_bytes_total", "Bytes received from other entry instances.", figures.peerBytesReceived);
+    families.counter("cornelwind_control_sent_bytes_total", "Bytes sent to other entry instances without forwarded requests.", figures.controlBytesSent);
     families.counter("cornelwind_platform_calls_total", "Calls to the platform.", figures.platformCalls);
     families.counter("cornelwind_spans_dropped_total", "Spans that were not exported.", figures.spansDropped);
     MetricFamily& decisions = families.family("cornelwind_decisions_total", "Decisions by kind.", MetricType::Counter);
--- a/src/shell/metrics.h
+++ b/src/shell/metrics.h
@@ -13,6 +13,7 @@
     std::size_t connections = 0;
     std::uint64_t peerBytesSent = 0;
     std::uint64_t peerBytesReceived = 0;
+    std::uint64_t controlBytesSent = 0;
     std::uint64_t platformCalls = 0;
     std::uint64_t spansDropped = 0;
     /// Decisions by kind.
--- a/src/shell/peer_side.cpp
+++ b/src/shell/peer_side.cpp
@@ -21,7 +21,9 @@
 
 void PeerSide::send(const SendPeer& effect)
 {
+    const std::uint64_t before = m_link.bytesSent();
     m_link.send(effect.address, *effect.message);
+    m_controlBytes += m_link.bytesSent() - before;
 }
 
 void PeerSide::forward(const ActiveRequest& request, const ForwardToOwner& effect)
--- a/src/shell/peer_side.h
+++ b/src/shell/peer_side.h
@@ -34,6 +34,8 @@
     /// Answers a request that another entry instance forwarded.
     void reply(const ActiveRequest& request, const Answer* answer, ErrorKind error, Outcome outcome);
 
+    /// @return bytes sent for control, that is without forwarded requests and their answers
+    std::uint64_t controlBytes() const { return m_controlBytes; }
     PeerLink& link() { return m_link; }
     const PeerLink& link() const { return m_link; }
 
@@ -49,6 +51,7 @@
     EventSink m_sink;
     Signer m_sign;
     PeerLink m_link;
+    std::uint64_t m_controlBytes = 0;
 };
 
 } // namespace cornelwind
