--- /dev/null
+++ b/tests/reducer_test.cpp
@@ -0,0 +1,198 @@
+// The reducer driven event by event through the public headers alone.
+#include "cornelwind/reducer.h"
+
+#include <catch2/catch.hpp>
+
+#include <deque>
+#include <string>
+#include <vector>
+
+using namespace cornelwind;
+
+namespace {
+
+const std::string SERVICE = "[[service]]\nname = \"s\"\nqueue_limit = 2\nqueue_ms = 100\nretry_percent = 100\n";
+
+std::string makeSheet(int servers, const std::string& rules)
+{
+    std::string text = "version = 1\n" + SERVICE;
+    for (int i = 0; i < servers; ++i)
+        text += "[[service.server]]\nname = \"s" + std::to_string(i) + "\"\naddress = \"10.0.0.1:80\"\nzone = \"z\"\nslots = 1\n";
+    return text + rules;
+}
+
+std::string rule(const char* kind, const std::string& more = {})
+{
+    return std::string("[[rule]]\nmethod = \"GET\"\npath = \"/\"\nservice = \"s\"\nkind = \"") + kind + "\"\nkey = \"none\"\ntime_limit_ms = 1000\n" + more;
+}
+
+/// One reducer with a clock of its own.
+class Driver {
+public:
+    explicit Driver(const std::string& sheet)
+    {
+        Settings settings;
+        settings.name = InstanceName { "a" };
+        settings.zone = ZoneName { "z" };
+        settings.peers = { "10.1.0.1", 9000 };
+        m_reducer.emplace(Reducer::Builder().settings(settings).incarnation(Incarnation { 7 }).start(m_now).build());
+        apply(InstancesListed { { { InstanceName { "a" }, ZoneName { "z" }, { "10.1.0.1", 9000 }, false } } });
+        apply(SheetFetched { sheet });
+        apply(Tick {});
+        apply(Tick {});
+    }
+
+    void apply(EventBody body)
+    {
+        m_effects.clear();
+        m_reducer->apply({ m_now, ++m_random * 0x9e3779b97f4a7c15, std::move(body) }, m_effects);
+        for (const Effect& effect : m_effects) {
+            if (const auto* send = std::get_if<SendTry>(&effect))
+                sends.push_back(*send);
+            if (const auto* refuse = std::get_if<Refuse>(&effect))
+                refusals.push_back(*refuse);
+            relayed += std::holds_alternative<RelayAnswer>(effect);
+            cancelled += std::holds_alternative<CancelTry>(effect);
+        }
+    }
+
+    void pass(Millis time)
+    {
+        for (Millis done { 0 }; done < time; done += Millis { 10 }) {
+            m_now += Millis { 10 };
+            apply(Tick {});
+        }
+    }
+
+    RequestId request(std::optional<Millis> remaining = {}, std::uint64_t fingerprint = 1)
+    {
+        const RequestId id { ++m_lastRequest };
+        apply(HeadReceived { id, "GET", "/x", {}, remaining, false });
+        apply(BodyReceived { id, Fingerprint { fingerprint } });
+        return id;
+    }
+
+    void finish(TryResult result, std::uint16_t status = 200)
+    {
+        const SendTry send = sends.front();
+        sends.pop_front();
+        const bool hasAnswer = result == TryResult::Answered || result == TryResult::Shed;
+        apply(TryFinished { send.id, result, hasAnswer ? std::make_shared<Answer>(Answer { status, {}, "x" }) : nullptr, false });
+    }
+
+    std::deque<SendTry> sends;
+    std::vector<Refuse> refusals;
+    int relayed = 0;
+    int cancelled = 0;
+
+private:
+    Time m_now { std::chrono::seconds(10) };
+    std::optional<Reducer> m_reducer;
+    EffectList m_effects;
+    std::uint64_t m_random = 0;
+    std::uint64_t m_lastRequest = 0;
+};
+
+} // namespace
+
+TEST_CASE("Each end of a send leads to the right answer")
+{
+    struct Row {
+        const char* name;
+        const char* kind;
+        std::vector<TryResult> results;
+        /// None where the answer of the server is passed on.
+        ErrorKind error;
+        Outcome outcome;
+    };
+    using enum TryResult;
+    const std::vector<Row> rows {
+        { "answer", "idempotent", { Answered }, ErrorKind::None, Outcome::Ran },
+        { "retry after a loss", "idempotent", { Crashed, Answered }, ErrorKind::None, Outcome::Ran },
+        { "retry after a shed", "idempotent", { Shed, Answered }, ErrorKind::None, Outcome::Ran },
+        { "retry after a cut answer", "idempotent", { Broken, Answered }, ErrorKind::None, Outcome::Ran },
+        { "two losses", "idempotent", { Crashed, Crashed }, ErrorKind::RequestQuarantined, Outcome::Unknown },
+        { "loss, then shed", "idempotent", { Broken, Shed }, ErrorKind::ServerShed, Outcome::Unknown },
+        { "loss, then no connection", "idempotent", { Broken, NotSent }, ErrorKind::ServerUnreachable, Outcome::Unknown },
+        { "too large", "idempotent", { TooLarge }, ErrorKind::AnswerTooLarge, Outcome::Ran },
+        { "order", "at-most-once", { Answered }, ErrorKind::None, Outcome::Ran },
+        { "order shed", "at-most-once", { Shed }, ErrorKind::ServerShed, Outcome::NotRun },
+        { "order without connection, elsewhere", "at-most-once", { NotSent, Answered }, ErrorKind::None, Outcome::Ran },
+        { "order without any connection", "at-most-once", { NotSent, NotSent, NotSent }, ErrorKind::ServerUnreachable, Outcome::NotRun },
+        { "order lost", "at-most-once", { Crashed }, ErrorKind::ServerFailed, Outcome::Unknown },
+        { "order lost on a reused connection", "at-most-once", { StaleConnection }, ErrorKind::ServerFailed, Outcome::Unknown },
+        { "order with a cut answer", "at-most-once", { Broken }, ErrorKind::ServerFailed, Outcome::Unknown },
+        { "order timed out", "at-most-once", { TimedOut }, ErrorKind::DeadlinePassed, Outcome::Unknown },
+        { "order with a large answer", "at-most-once", { TooLarge }, ErrorKind::AnswerTooLarge, Outcome::Ran },
+    };
+    for (const Row& row : rows) {
+        INFO(row.name);
+        Driver driver(makeSheet(4, rule(row.kind)));
+        driver.request();
+        for (const TryResult result : row.results) {
+            REQUIRE(driver.sends.size() == 1);
+            driver.finish(result);
+        }
+        CHECK(driver.sends.empty());
+        CHECK(driver.relayed == (row.error == ErrorKind::None));
+        CHECK(driver.refusals.size() == (row.error != ErrorKind::None));
+        if (!driver.refusals.empty()) {
+            CHECK(describe(driver.refusals[0].error).name == std::string(describe(row.error).name));
+            CHECK(driver.refusals[0].outcome == row.outcome);
+        }
+    }
+}
+
+TEST_CASE("Waiting is bounded in number and time")
+{
+    Driver driver(makeSheet(1, rule("idempotent")));
+    for (int i = 0; i < 3; ++i)
+        driver.request();
+    CHECK(driver.sends.size() == 1);
+    CHECK(driver.refusals.empty());
+    driver.request();
+    REQUIRE(driver.refusals.size() == 1);
+    CHECK(driver.refusals[0].error == ErrorKind::QueueFull);
+    CHECK(driver.refusals[0].outcome == Outcome::NotRun);
+    driver.pass(Millis { 120 });
+    REQUIRE(driver.refusals.size() == 3);
+    CHECK(driver.refusals[2].error == ErrorKind::QueueTimeout);
+    CHECK(driver.refusals[2].outcome == Outcome::NotRun);
+}
+
+TEST_CASE("A hedge goes elsewhere, and the first answer cancels the other send")
+{
+    Driver driver(makeSheet(3, rule("idempotent", "hedge_after_ms = 50\n")));
+    driver.request();
+    driver.pass(Millis { 40 });
+    CHECK(driver.sends.size() == 1);
+    driver.pass(Millis { 20 });
+    REQUIRE(driver.sends.size() == 2);
+    CHECK(driver.sends[0].server != driver.sends[1].server);
+    driver.finish(TryResult::Answered);
+    CHECK(driver.relayed == 1);
+    CHECK(driver.cancelled == 1);
+    driver.finish(TryResult::Cancelled);
+    CHECK(driver.refusals.empty());
+}
+
+TEST_CASE("Nothing is sent for a request whose time is over")
+{
+    Driver driver(makeSheet(2, rule("at-most-once")));
+    driver.request(Millis { 0 });
+    CHECK(driver.sends.empty());
+    REQUIRE(driver.refusals.size() == 1);
+    CHECK(driver.refusals[0].error == ErrorKind::DeadlinePassed);
+    CHECK(driver.refusals[0].outcome == Outcome::NotRun);
+}
+
+TEST_CASE("A caller's short deadline ends its wait, not an order that runs")
+{
+    Driver driver(makeSheet(2, rule("at-most-once")));
+    driver.request(Millis { 100 });
+    REQUIRE(driver.sends.size() == 1);
+    driver.pass(Millis { 120 });
+    REQUIRE(driver.refusals.size() == 1);
+    CHECK(driver.refusals[0].outcome == Outcome::Unknown);
+    CHECK(driver.cancelled == 0);
+}
