Split the request flow, share counters and thresholds, acknowledge only handovers that are held

The flow from admission to the end of a send stands in request_sends.cpp; the public Counters replace a second copy; thresholds that two files repeated are in detector.h; the directory of peers has a header of its own. A handover part that is malformed or beyond 16 at once is refused and not acknowledged; before, every part was. Also adds the comparison of fresh and reused connections for at-most-once work to the path benchmark (not yet run on a quiet machine).

--- a/benchmark/path.cpp
+++ b/benchmark/path.cpp
@@ -2,9 +2,11 @@
 #include "support/fleet.h"
 
 #include <algorithm>
+#include <atomic>
 #include <chrono>
 #include <cstdio>
 #include <mutex>
+#include <random>
 #include <string>
 #include <thread>
 #include <vector>
@@ -64,13 +66,64 @@
     return load;
 }
 
+constexpr int IDLE_CLOSE_MS = 2;
+
+const char* const RULES = R"([[rule]]
+method = "GET"
+path = "/catalogue"
+service = "catalogue"
+kind = "idempotent"
+[[rule]]
+method = "POST"
+path = "/fresh"
+service = "catalogue"
+kind = "at-most-once"
+key = "none"
+[[rule]]
+method = "POST"
+path = "/reuse"
+service = "catalogue"
+kind = "at-most-once"
+key = "none"
+connection = "reuse"
+)";
+
+/// Orders at gaps around the time after which the server closes idle connections.
+void compareConnections(const std::string& address, const std::string& path)
+{
+    std::atomic<int> sent = 0;
+    std::atomic<int> unknown = 0;
+    std::mutex mutex;
+    Load load;
+    std::vector<std::thread> threads;
+    threads.reserve(CONNECTIONS);
+    for (unsigned i = 0; i < CONNECTIONS; ++i) {
+        threads.emplace_back([&, i] {
+            std::mt19937 random(i);
+            const auto end = Clock::now() + 2 * ROUND_TIME;
+            while (Clock::now() < end) {
+                std::this_thread::sleep_for(std::chrono::microseconds(random() % (2 * IDLE_CLOSE_MS * 1000 * CONNECTIONS)));
+                const auto start = Clock::now();
+                const auto answer = call(address, "POST", path, {}, "order");
+                ++sent;
+                unknown += !answer || answer->header("cornelwind-outcome") == "unknown";
+                const std::lock_guard lock(mutex);
+                load.micros.push_back(std::chrono::duration<double, std::micro>(Clock::now() - start).count());
+            }
+        });
+    }
+    for (std::thread& thread : threads)
+        thread.join();
+    std::printf("%s: %d orders, %d unknown, p50 %.0f p99 %.0f us\n", path.c_str() + 1, sent.load(), unknown.load(), load.quantile(0.5), load.quantile(0.99));
+}
+
 } // namespace
 
 int main()
 {
     Fleet fleet;
     fleet.addServer({ "cat-1", "catalogue", 64, 0 });
-    fleet.publishSheet(fleet.sheet(1));
+    fleet.publishSheet(fleet.sheet(1, "", RULES));
     fleet.addInstance("a");
     fleet.startAll();
     const std::string direct = fleet.serverAddress("cat-1");
@@ -93,6 +146,9 @@
     }
     std::printf("at %.0f requests/s: direct p50 %.0f p99 %.0f us, through p50 %.0f p99 %.0f us\n", half, directSum.quantile(0.5), directSum.quantile(0.99),
         throughSum.quantile(0.5), throughSum.quantile(0.99));
+    fleet.controlServer("cat-1", "idle_close_ms=" + std::to_string(IDLE_CLOSE_MS));
+    compareConnections(through, "/fresh");
+    compareConnections(through, "/reuse");
     std::printf("path: per_core=%.0f added_p50_ms=%.3f added_p99_ms=%.3f\n", static_cast<double>(saturated.micros.size()) / cpu,
         (throughSum.quantile(0.5) - directSum.quantile(0.5)) / 1000, (throughSum.quantile(0.99) - directSum.quantile(0.99)) / 1000);
     return 0;
--- a/include/cornelwind/detector.h
+++ b/include/cornelwind/detector.h
@@ -18,6 +18,11 @@
 /// Time between two evaluations, and between two digests to the peers.
 inline constexpr Millis EVIDENCE_INTERVAL { 250 };
 
+/// Share of the threshold from which the evidence of one entry instance alone counts for itself.
+inline constexpr double OWN_THRESHOLD_SHARE = 0.6;
+/// Share of the accusing evidence from which it counts as that of one entry instance.
+inline constexpr double ONE_SOURCE_SHARE = 0.75;
+
 /// Outcomes of one backend server within one interval.
 struct Tally {
     std::uint32_t samples = 0;
--- a/include/cornelwind/reducer.h
+++ b/include/cornelwind/reducer.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "cornelwind/counters.h"
 #include "cornelwind/decision.h"
 #include "cornelwind/effect.h"
 #include "cornelwind/event.h"
@@ -55,20 +56,6 @@
     std::vector<MemberStatus> members;
 };
 
-/// Running totals, for metrics.
-struct Counters {
-    std::uint64_t requests = 0;
-    std::uint64_t relayed = 0;
-    std::uint64_t refused = 0;
-    std::uint64_t tries = 0;
-    std::uint64_t retries = 0;
-    std::uint64_t hedges = 0;
-    std::uint64_t forwarded = 0;
-    std::uint64_t joined = 0;
-    std::uint64_t repeated = 0;
-    std::uint64_t sheds = 0;
-};
-
 /// Every decision of one entry instance: events in, effects out.
 ///
 /// Touches no socket, clock, thread or random source; the same events give the
--- a/src/decision/detector.cpp
+++ b/src/decision/detector.cpp
@@ -24,7 +24,6 @@
     constexpr double MAX_EXPECTED = 0.9;
     // Evidence of one interval alone cannot exceed the threshold.
     constexpr double GAIN_SHARE = 0.55;
-    constexpr double OWN_THRESHOLD_SHARE = 0.6;
     constexpr Duration MIN_SLOW_LIMIT = std::chrono::milliseconds(10);
     constexpr Duration DEFAULT_SLOW_LIMIT = std::chrono::milliseconds(1000);
     constexpr double MIN_LATENCY_SAMPLES = 20;
@@ -35,8 +34,6 @@
     constexpr std::uint32_t MAX_STALLED = 10000;
     constexpr double MIN_SOURCE_SAMPLES = 0.5;
     constexpr std::size_t MIN_PATHS = 3;
-    // Share of the accusing evidence from which it counts as that of one entry instance.
-    constexpr double ONE_SOURCE_SHARE = 0.75;
     // Bad outcomes beyond expectation from which one source can be odd.
     constexpr double MIN_ODD_EXCESS = 2.5;
     constexpr Duration SOURCE_MEMORY = std::chrono::minutes(10);
--- a/src/decision/drain.cpp
+++ b/src/decision/drain.cpp
@@ -102,14 +102,7 @@
     case peer::Envelope::kHeirAccept:
         return onAccept(sender, context);
     case peer::Envelope::kHandover:
-        // After its own handover this entry instance cannot answer for more keys.
-        if (m_parts.keys.handedOver())
-            return;
-        if (m_parts.keys.inherit(message.handover(), context.now()))
-            m_expectsUntil = Time {};
-        reply->mutable_handover_ack()->set_incarnation(message.handover().incarnation());
-        reply->mutable_handover_ack()->set_part(message.handover().part());
-        return m_parts.gossip.send(sender, std::move(reply), context);
+        return onHandover(message.handover(), sender, context);
     case peer::Envelope::kHandoverAck:
         return m_parts.keys.onAck(message.handover_ack());
     case peer::Envelope::kHeirNotice:
@@ -119,6 +112,22 @@
     }
 }
 
+void Drain::onHandover(const peer::Handover& part, const MemberRecord& sender, Context& context)
+{
+    // After its own handover this entry instance cannot answer for more keys.
+    if (m_parts.keys.handedOver())
+        return;
+    const InheritResult result = m_parts.keys.inherit(part, context.now());
+    if (result == InheritResult::Refused)
+        return;
+    if (result == InheritResult::Complete)
+        m_expectsUntil = Time {};
+    auto ack = std::make_shared<peer::Envelope>();
+    ack->mutable_handover_ack()->set_incarnation(part.incarnation());
+    ack->mutable_handover_ack()->set_part(part.part());
+    m_parts.gossip.send(sender, std::move(ack), context);
+}
+
 void Drain::onAccept(const MemberRecord& sender, Context& context)
 {
     if (m_phase == Phase::FindHeir && m_offered == sender.name)
--- a/src/decision/drain.h
+++ b/src/decision/drain.h
@@ -13,6 +13,7 @@
 
 namespace peer {
     class Envelope;
+    class Handover;
 }
 
 /// Stops an entry instance without cutting off a request, and hands its keys to an heir.
@@ -62,6 +63,7 @@
     void awaitAck(Context& context);
     void finish(Context& context);
     void notifyHeir(Context& context);
+    void onHandover(const peer::Handover& part, const MemberRecord& sender, Context& context);
     void onAccept(const MemberRecord& sender, Context& context);
 
     Parts m_parts;
--- a/src/decision/ejector.cpp
+++ b/src/decision/ejector.cpp
@@ -17,8 +17,6 @@
     // In trial a server is judged by less evidence.
     constexpr double TRIAL_THRESHOLD_SHARE = 0.4;
     constexpr double SUPPORT_THRESHOLD_SHARE = 0.5;
-    constexpr double OWN_THRESHOLD_SHARE = 0.6;
-    constexpr double ONE_SOURCE_SHARE = 0.75;
     constexpr Duration CLAIM_LIFETIME = std::chrono::seconds(3);
     constexpr Duration LEAVE_TIME = std::chrono::seconds(60);
     constexpr Duration LEAVE_TELL_TIME = std::chrono::seconds(5);
--- a/src/decision/key_book.cpp
+++ b/src/decision/key_book.cpp
@@ -10,6 +10,9 @@
 
     constexpr std::size_t MAX_PART_BYTES = 256 * 1024;
     constexpr std::size_t MAX_HEIRS = 4096;
+    constexpr std::size_t MAX_ARRIVING = 16;
+    // A giver that has not sent every part by then never will.
+    constexpr Duration ARRIVAL_TIME = std::chrono::minutes(2);
 
     peer::Handover emptyPart(const KeyHolding& holding, Time now)
     {
@@ -90,6 +93,7 @@
     for (auto& [incarnation, holding] : m_holdings)
         holding->ledger.raiseFloor(holding->mint.firstIdAt(now - m_limits.lifetime));
     std::erase_if(m_heirs, [now](const auto& row) { return row.second.expires <= now; });
+    std::erase_if(m_arriving, [now](const auto& row) { return now - row.second.since > ARRIVAL_TIME; });
     for (auto inherited = m_inheritedAt.begin(); inherited != m_inheritedAt.end();) {
         const KeyHolding& holding = *m_holdings.at(inherited->first);
         if (inherited->second + m_limits.lifetime > now || holding.ledger.busy()) {
@@ -146,32 +150,33 @@
     m_unacknowledged.erase(PartKey { Incarnation { ack.incarnation() }, ack.part() });
 }
 
-bool KeyBook::inherit(const peer::Handover& part, Time now)
+InheritResult KeyBook::inherit(const peer::Handover& part, Time now)
 {
     const Incarnation incarnation { part.incarnation() };
     if (m_holdings.contains(incarnation))
-        return true;
+        return InheritResult::Complete;
     KeySecret secret {};
-    if (part.secret().size() != secret.size() || !part.parts() || part.part() >= part.parts())
-        return false;
+    const bool wellFormed = part.secret().size() == secret.size() && part.part() < part.parts();
+    if (!wellFormed || (!m_arriving.contains(incarnation) && m_arriving.size() == MAX_ARRIVING))
+        return InheritResult::Refused;
     std::copy(part.secret().begin(), part.secret().end(), secret.begin());
-    Inheritance& arriving = m_arriving[incarnation];
+    Arrival& arriving = m_arriving[incarnation];
     if (!arriving.holding) {
-        const Millis age { part.age_ms() };
-        KeyMint mint(InstanceName { part.owner() }, incarnation, secret, now - age);
+        arriving.since = now;
+        KeyMint mint(InstanceName { part.owner() }, incarnation, secret, now - Millis { part.age_ms() });
         arriving.holding = std::make_unique<KeyHolding>(KeyHolding { std::move(mint), Ledger(m_limits.ledger) });
     }
-    if (!arriving.parts.emplace(part.part(), true).second)
-        return false;
+    if (!arriving.parts.insert(part.part()).second)
+        return InheritResult::Partial;
     for (const peer::LedgerRow& row : part.rows())
         arriving.holding->ledger.restore(readRow(row));
     if (arriving.parts.size() < part.parts())
-        return false;
+        return InheritResult::Partial;
     arriving.holding->ledger.raiseFloor(KeyId { part.floor() });
     m_holdings[incarnation] = std::move(arriving.holding);
     m_inheritedAt[incarnation] = now;
     m_arriving.erase(incarnation);
-    return true;
+    return InheritResult::Complete;
 }
 
 void KeyBook::noteHeir(Incarnation incarnation, const InstanceName& heir, Time now)
--- a/src/decision/key_book.h
+++ b/src/decision/key_book.h
@@ -8,6 +8,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -34,6 +35,14 @@
     Incarnation incarnation;
 };
 
+/// What became of a part of a handover.
+enum class InheritResult : std::uint8_t {
+    /// Malformed, or too many handovers at once: not held, not to be acknowledged.
+    Refused,
+    Partial,
+    Complete,
+};
+
 /// The keys that this entry instance answers for: its own and inherited ones.
 ///
 /// Memory: as `Ledger` for each incarnation held; inherited ones are dropped
@@ -82,8 +91,8 @@
 
     /// Takes over one part of the keys of a stopping entry instance. Idempotent.
     ///
-    /// @return whether all parts have arrived, so that its keys are decided here now
-    bool inherit(const peer::Handover& part, Time now);
+    /// @return Complete once all parts have arrived, so that its keys are decided here now
+    InheritResult inherit(const peer::Handover& part, Time now);
 
     /// Remembers who answers for an incarnation.
     void noteHeir(Incarnation incarnation, const InstanceName& heir, Time now);
@@ -93,9 +102,10 @@
     std::size_t holdings() const { return m_holdings.size(); }
 
 private:
-    struct Inheritance {
+    struct Arrival {
         std::unique_ptr<KeyHolding> holding;
-        std::map<std::uint32_t, bool> parts;
+        std::set<std::uint32_t> parts;
+        Time since;
     };
     struct Heir {
         InstanceName name;
@@ -109,7 +119,7 @@
     Limits m_limits;
     std::map<Incarnation, std::unique_ptr<KeyHolding>> m_holdings;
     std::map<Incarnation, Time> m_inheritedAt;
-    std::map<Incarnation, Inheritance> m_arriving;
+    std::map<Incarnation, Arrival> m_arriving;
     std::map<Incarnation, Heir> m_heirs;
     std::map<PartKey, std::shared_ptr<peer::Handover>> m_unacknowledged;
     InstanceName m_heir;
--- a/src/decision/member_table.h
+++ b/src/decision/member_table.h
@@ -4,7 +4,7 @@
 #include "cornelwind/event.h"
 #include "cornelwind/membership.h"
 #include "cornelwind/settings.h"
-#include "request_flow.h"
+#include "peer_directory.h"
 
 #include <deque>
 #include <map>
--- a/src/decision/reducer.cpp
+++ b/src/decision/reducer.cpp
@@ -61,11 +61,7 @@
 
     void sign(peer::Envelope& message) const { m_gossip.sign(message); }
     Status status(Time now) const;
-    Counters counters() const
-    {
-        const FlowCounters& flow = m_flow.counters();
-        return { flow.requests, flow.relayed, flow.refused, flow.tries, flow.retries, flow.hedges, flow.forwarded, flow.joined, flow.repeated, flow.sheds };
-    }
+    const Counters& counters() const { return m_flow.counters(); }
     std::vector<Decision> explain(const std::string& subject, std::size_t most) const { return m_decisions.about(subject, most); }
 
 private:
--- a/src/decision/request_flow.h
+++ b/src/decision/request_flow.h
@@ -2,6 +2,7 @@
 
 #include "context.h"
 #include "cornelwind/admission.h"
+#include "cornelwind/counters.h"
 #include "cornelwind/event.h"
 #include "cornelwind/quarantine.h"
 #include "cornelwind/retry_budget.h"
@@ -9,6 +10,7 @@
 #include "cornelwind/server_pool.h"
 #include "evidence_sink.h"
 #include "key_book.h"
+#include "peer_directory.h"
 
 #include <array>
 #include <functional>
@@ -21,30 +23,6 @@
 
 namespace cornelwind {
 
-/// Tells which entry instances can be asked.
-class PeerDirectory {
-public:
-    virtual ~PeerDirectory() = default;
-
-    /// @param incarnation zero for any
-    /// @return where that start of the entry instance can be reached, or nothing if it is not known to answer
-    virtual std::optional<Endpoint> reach(const InstanceName& name, Incarnation incarnation) const = 0;
-};
-
-/// Counts of what the request flow did, for metrics.
-struct FlowCounters {
-    std::uint64_t requests = 0;
-    std::uint64_t relayed = 0;
-    std::uint64_t refused = 0;
-    std::uint64_t tries = 0;
-    std::uint64_t retries = 0;
-    std::uint64_t hedges = 0;
-    std::uint64_t forwarded = 0;
-    std::uint64_t joined = 0;
-    std::uint64_t repeated = 0;
-    std::uint64_t sheds = 0;
-};
-
 /// Takes each request from its head to its answer: routing, keys, admission, sends and retries.
 ///
 /// Memory: one entry for each request in progress; the shell bounds their number.
@@ -89,10 +67,12 @@
     /// Ends what still waits on another entry instance or on a slot, because time is up.
     void abandonAll(Context& context);
 
-    const FlowCounters& counters() const { return m_counters; }
+    const Counters& counters() const { return m_counters; }
     std::size_t size() const { return m_requests.size(); }
 
 private:
+    /// What callers are told to wait after a refusal.
+    static constexpr Millis RETRY_AFTER { 1000 };
     static constexpr std::size_t MAX_ACTIVE = 2;
     static constexpr std::size_t MAX_TRIED = 8;
 
@@ -211,7 +191,7 @@
     std::vector<RequestId> m_paused;
     bool m_keyedPaused = false;
     bool m_open = false;
-    FlowCounters m_counters;
+    Counters m_counters;
 };
 
 } // namespace cornelwind
--- /dev/null
+++ b/src/decision/request_sends.cpp
@@ -0,0 +1,272 @@
+// The part of the request flow from admission to the end of a send.
+#include "request_flow.h"
+
+#include <algorithm>
+
+namespace cornelwind {
+namespace {
+
+    // A backend server that shed is left alone for about one service time.
+    constexpr Millis SHED_PAUSE { 20 };
+    // A try shorter than this is not worth its cost.
+    constexpr Millis MIN_TRY_TIME { 5 };
+    constexpr std::uint8_t MAX_CONNECT_TRIES = 3;
+    // Median answer times that a request waits for a slot of its own entry instance.
+    constexpr double AT_MOST_ONCE_BORROW_MEDIANS = 3;
+    constexpr double IDEMPOTENT_BORROW_MEDIANS = 1;
+    constexpr std::uint16_t FIRST_SERVER_ERROR = 500;
+
+    bool isServerError(const Answer& answer)
+    {
+        return answer.status >= FIRST_SERVER_ERROR;
+    }
+
+} // namespace
+
+void RequestFlow::admit(Request& request, Context& context)
+{
+    if (const auto refusal = refusalBeforeSend(request, context.now()))
+        return settle(request, { refusal->outcome, refusal->error, nullptr }, refusal->retryAfter, context);
+    Service& service = *request.service;
+    const auto next = service.queue.front();
+    if (!next && trySend(request, context))
+        return;
+    const Time expires = std::min<Time>(request.deadline, context.now() + service.config.queueTime);
+    const auto admission = service.queue.enter({ request.id, expires }, request.rule->priority, service.config.queueLimit);
+    if (admission.displaced) {
+        if (Request* displaced = find(*admission.displaced))
+            settle(*displaced, { Outcome::NotRun, ErrorKind::QueueFull, nullptr }, RETRY_AFTER, context);
+    }
+    if (!admission.admitted)
+        return settle(request, { Outcome::NotRun, ErrorKind::QueueFull, nullptr }, RETRY_AFTER, context);
+    request.phase = Phase::Queued;
+    pump(service, context);
+}
+
+std::optional<RequestFlow::Refusal> RequestFlow::refusalBeforeSend(const Request& request, Time now) const
+{
+    if (now >= request.deadline)
+        return Refusal { ErrorKind::DeadlinePassed, Outcome::NotRun, {} };
+    if (m_parts.quarantine.stops(request.fingerprint, now))
+        return Refusal { ErrorKind::RequestQuarantined, Outcome::NotRun, {} };
+    if (!request.service->index || !m_parts.pool.hasUsable(*request.service->index))
+        return Refusal { ErrorKind::NoServer, Outcome::NotRun, RETRY_AFTER };
+    return std::nullopt;
+}
+
+bool RequestFlow::trySend(Request& request, Context& context)
+{
+    if (!request.service->index || request.activeCount == MAX_ACTIVE || request.triedCount == MAX_TRIED)
+        return false;
+    PickContext pick;
+    pick.now = context.now();
+    pick.random = context.random();
+    pick.excluded = { request.tried.data(), request.triedCount };
+    pick.trialAllowed = request.rule->kind == RequestKind::Idempotent;
+    pick.borrowAllowed = mayBorrow(request, context.now());
+    Server* server = m_parts.pool.pick(*request.service->index, pick);
+    if (!server)
+        return false;
+    send(request, *server, context);
+    return true;
+}
+
+// A borrowed slot may be taken, and a shed ends an at-most-once request: it waits longer for a slot of its own.
+bool RequestFlow::mayBorrow(const Request& request, Time now) const
+{
+    if (request.sendCount)
+        return true;
+    const double patience = request.rule->kind == RequestKind::AtMostOnce ? AT_MOST_ONCE_BORROW_MEDIANS : IDEMPOTENT_BORROW_MEDIANS;
+    const auto median = static_cast<double>(m_parts.evidence.typicalTime(*request.service->index).count());
+    return now - request.admittedAt >= Duration { static_cast<std::int64_t>(patience * median) };
+}
+
+void RequestFlow::send(Request& request, Server& server, Context& context)
+{
+    const TryId id { ++m_lastTry };
+    ++m_counters.tries;
+    request.phase = Phase::Sent;
+    request.tried[request.triedCount++] = server.id;
+    ++request.sendCount;
+    request.active[request.activeCount++] = { id, server.id };
+    m_tries.emplace(id, request.id);
+    m_parts.pool.begin(server);
+    m_parts.evidence.trySent(id, server.id, context.now());
+
+    const auto remaining = request.runLimit - context.now();
+    const std::uint32_t triesLeft = request.rule->tries > request.sendCount ? request.rule->tries - request.sendCount : 0;
+    const SheetService& config = request.service->config;
+    context.emit(SendTry { request.id, id, server.id, server.config.name, server.config.address,
+        context.now() + remaining / (triesLeft + 1), request.rule->connection, request.rule->maxAnswer,
+        config.shedStatus, config.shedHeader, config.drainHeader });
+    if (request.rule->hedgeAfter && request.sendCount == 1)
+        m_timers.push({ context.now() + *request.rule->hedgeAfter, request.id, true });
+}
+
+void RequestFlow::pump(Service& service, Context& context)
+{
+    while (const auto next = service.queue.front()) {
+        Request* request = find(*next);
+        if (!request) {
+            service.queue.popFront();
+            continue;
+        }
+        if (const auto refusal = refusalBeforeSend(*request, context.now())) {
+            service.queue.popFront();
+            settle(*request, { refusal->outcome, refusal->error, nullptr }, refusal->retryAfter, context);
+            continue;
+        }
+        if (!trySend(*request, context))
+            return;
+        service.queue.popFront();
+    }
+}
+
+bool RequestFlow::retry(Request& request, Context& context)
+{
+    if (request.rule->kind != RequestKind::Idempotent || request.sendCount >= request.rule->tries)
+        return false;
+    if (context.now() + MIN_TRY_TIME >= request.deadline || m_parts.quarantine.stops(request.fingerprint, context.now()))
+        return false;
+    if (!request.service->budget.withdraw())
+        return false;
+    if (!trySend(request, context))
+        return false;
+    ++m_counters.retries;
+    return true;
+}
+
+void RequestFlow::hedge(Request& request, Context& context)
+{
+    if (request.phase != Phase::Sent || request.activeCount != 1 || request.sendCount != 1)
+        return;
+    if (!request.service->budget.withdraw())
+        return;
+    if (trySend(request, context))
+        ++m_counters.hedges;
+}
+
+RequestFlow::ResultHandler RequestFlow::handlerOf(TryResult result)
+{
+    static constexpr std::array<ResultHandler, 9> handlers {
+        &RequestFlow::onAnswered,
+        &RequestFlow::onShed,
+        &RequestFlow::onNotSent,
+        &RequestFlow::onCrashed,
+        &RequestFlow::onCrashed, // StaleConnection
+        &RequestFlow::onBroken,
+        &RequestFlow::onTooLarge,
+        &RequestFlow::onTimedOut,
+        &RequestFlow::onCancelled,
+    };
+    return handlers.at(static_cast<std::size_t>(result));
+}
+
+void RequestFlow::onTryFinished(const TryFinished& event, Context& context)
+{
+    const auto known = m_tries.find(event.id);
+    if (known == m_tries.end())
+        return;
+    const RequestId id = known->second;
+    m_tries.erase(known);
+    Request& request = m_requests.at(id);
+    const auto last = request.active.begin() + request.activeCount;
+    const auto position = std::find_if(request.active.begin(), last, [&](const ActiveTry& active) { return active.id == event.id; });
+    const ActiveTry ended = *position;
+    std::move(position + 1, last, position);
+    --request.activeCount;
+    m_parts.pool.end(ended.server);
+    if (event.leaving)
+        m_parts.leaving(ended.server, context);
+
+    const ServicePtr service = request.service;
+    (this->*handlerOf(event.result))(request, ended, event, context);
+    eraseIfDone(id, context);
+    pump(*service, context);
+}
+
+void RequestFlow::onAnswered(Request& request, const ActiveTry& ended, const TryFinished& event, Context& context)
+{
+    const bool failed = isServerError(*event.answer);
+    m_parts.quarantine.recordSuccess(request.fingerprint);
+    m_parts.evidence.tryEnded(ended.id, failed ? Evidence::Failure : Evidence::Success, context.now());
+    if (failed && !request.answered && (request.activeCount || retry(request, context)))
+        return;
+    settle(request, { Outcome::Ran, ErrorKind::None, event.answer }, {}, context);
+}
+
+void RequestFlow::onShed(Request& request, const ActiveTry& ended, const TryFinished&, Context& context)
+{
+    ++m_counters.sheds;
+    m_parts.evidence.tryEnded(ended.id, Evidence::None, context.now());
+    if (Server* server = m_parts.pool.find(ended.server))
+        server->busyUntil = context.now() + SHED_PAUSE;
+    if (request.activeCount || retry(request, context))
+        return;
+    // Another send of this request may have run, unless this was the only one.
+    const Outcome outcome = request.sendCount == 1 ? Outcome::NotRun : Outcome::Unknown;
+    settle(request, { outcome, ErrorKind::ServerShed, nullptr }, RETRY_AFTER, context);
+}
+
+void RequestFlow::onNotSent(Request& request, const ActiveTry& ended, const TryFinished&, Context& context)
+{
+    m_parts.evidence.tryEnded(ended.id, Evidence::Failure, context.now());
+    if (request.activeCount || retry(request, context))
+        return;
+    // Nothing was written, so even an at-most-once request may go elsewhere.
+    const bool neverWritten = request.rule->kind == RequestKind::AtMostOnce;
+    if (neverWritten && request.sendCount < MAX_CONNECT_TRIES && context.now() + MIN_TRY_TIME < request.runLimit && trySend(request, context))
+        return;
+    const Outcome outcome = neverWritten || request.sendCount == 1 ? Outcome::NotRun : Outcome::Unknown;
+    settle(request, { outcome, ErrorKind::ServerUnreachable, nullptr }, RETRY_AFTER, context);
+}
+
+void RequestFlow::onCrashed(Request& request, const ActiveTry& ended, const TryFinished& event, Context& context)
+{
+    // A request that crashed a server before accuses itself, not the next server;
+    // an idle connection may also have been closed just then.
+    const bool suspect = m_parts.quarantine.suspects(request.fingerprint, context.now());
+    const bool stale = event.result == TryResult::StaleConnection;
+    m_parts.evidence.tryEnded(ended.id, suspect || stale ? Evidence::None : Evidence::Failure, context.now());
+    m_parts.crashed(request.fingerprint, context);
+    if (request.activeCount || retry(request, context))
+        return;
+    const bool stopped = m_parts.quarantine.stops(request.fingerprint, context.now());
+    const ErrorKind error = stopped ? ErrorKind::RequestQuarantined : ErrorKind::ServerFailed;
+    settle(request, { Outcome::Unknown, error, nullptr }, {}, context);
+}
+
+void RequestFlow::onBroken(Request& request, const ActiveTry& ended, const TryFinished&, Context& context)
+{
+    m_parts.evidence.tryEnded(ended.id, Evidence::Failure, context.now());
+    if (request.activeCount || retry(request, context))
+        return;
+    settle(request, { Outcome::Unknown, ErrorKind::ServerFailed, nullptr }, {}, context);
+}
+
+void RequestFlow::onTooLarge(Request& request, const ActiveTry& ended, const TryFinished&, Context& context)
+{
+    m_parts.evidence.tryEnded(ended.id, Evidence::None, context.now());
+    if (request.activeCount)
+        return;
+    settle(request, { Outcome::Ran, ErrorKind::AnswerTooLarge, nullptr }, {}, context);
+}
+
+void RequestFlow::onTimedOut(Request& request, const ActiveTry& ended, const TryFinished&, Context& context)
+{
+    // Slowness was counted while the send was pending.
+    m_parts.evidence.tryEnded(ended.id, Evidence::None, context.now());
+    if (request.activeCount || retry(request, context))
+        return;
+    settle(request, { Outcome::Unknown, ErrorKind::DeadlinePassed, nullptr }, {}, context);
+}
+
+void RequestFlow::onCancelled(Request& request, const ActiveTry& ended, const TryFinished&, Context& context)
+{
+    m_parts.evidence.tryEnded(ended.id, Evidence::None, context.now());
+    if (request.activeCount)
+        return;
+    settle(request, { Outcome::Unknown, ErrorKind::ServerFailed, nullptr }, {}, context);
+}
+
+} // namespace cornelwind
--- a/src/decision/selector.cpp
+++ b/src/decision/selector.cpp
@@ -6,6 +6,7 @@
 namespace cornelwind {
 namespace {
 
+    // Two random positions come from the halves of one 64-bit value.
     constexpr unsigned HALF_BITS = 32;
 
     class RandomSelector final : public Selector {
@@ -69,8 +70,6 @@
             }
             return best;
         }
-
-        // Two random candidates come from the halves of one 64-bit value.
     };
 
 } // namespace
--- a/tests/ledger_test.cpp
+++ b/tests/ledger_test.cpp
@@ -186,7 +186,7 @@
     giver.sendHandover([&](const peer::Handover& part) { parts.push_back(part); });
     REQUIRE(parts.size() == 1);
     for (int repeat = 0; repeat < 2; ++repeat)
-        CHECK(heir.inherit(parts[0], now));
+        CHECK(heir.inherit(parts[0], now) == InheritResult::Complete);
     KeyHolding* holding = heir.find(Incarnation { 7 });
     REQUIRE(holding);
     CHECK(holding->mint.verify(*used));
@@ -217,11 +217,11 @@
     giver.sendHandover([&](const peer::Handover& part) { parts.push_back(part); });
     peer::Handover first = parts[0];
     first.set_parts(2);
-    CHECK_FALSE(heir.inherit(first, START));
+    CHECK(heir.inherit(first, START) == InheritResult::Partial);
     CHECK(heir.find(Incarnation { 7 }) == nullptr);
     peer::Handover second = first;
     second.set_part(1);
-    CHECK(heir.inherit(second, START));
+    CHECK(heir.inherit(second, START) == InheritResult::Complete);
     CHECK(heir.find(Incarnation { 7 }) != nullptr);
 
     struct Row {
@@ -237,7 +237,7 @@
         bad.set_part(row.part);
         bad.set_parts(row.parts);
         bad.set_secret(std::string(row.secretBytes, 's'));
-        CHECK_FALSE(heir.inherit(bad, START));
+        CHECK(heir.inherit(bad, START) == InheritResult::Refused);
         CHECK(heir.find(Incarnation { 99 }) == nullptr);
     }
 }
--- a/tests/standin/server.cpp
+++ b/tests/standin/server.cpp
@@ -33,6 +33,9 @@
                 const std::lock_guard lock(m_mutex);
                 m_connections.insert(fd);
             }
+            // An idle connection is closed after this time, as servers do.
+            if (const int idleMs = setting("idle_close_ms"))
+                setTimeLimit(socket, idleMs);
             std::string rest;
             while (const auto request = readMessage(socket, rest)) {
                 if (!handle(*request, socket))
--- a/tests/support/net.cpp
+++ b/tests/support/net.cpp
@@ -51,13 +51,6 @@
         }
     }
 
-    void setTimeLimit(const Socket& socket, int timeLimitMs)
-    {
-        const timeval limit { timeLimitMs / 1000, (timeLimitMs % 1000) * 1000 };
-        setsockopt(socket.fd(), SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof limit);
-        setsockopt(socket.fd(), SOL_SOCKET, SO_SNDTIMEO, &limit, sizeof limit);
-    }
-
 } // namespace
 
 Socket& Socket::operator=(Socket&& other) noexcept
@@ -69,6 +62,13 @@
     return *this;
 }
 
+void setTimeLimit(const Socket& socket, int timeLimitMs)
+{
+    const timeval limit { timeLimitMs / 1000, (timeLimitMs % 1000) * 1000 };
+    setsockopt(socket.fd(), SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof limit);
+    setsockopt(socket.fd(), SOL_SOCKET, SO_SNDTIMEO, &limit, sizeof limit);
+}
+
 int Socket::release()
 {
     return std::exchange(m_fd, -1);
--- a/tests/support/net.h
+++ b/tests/support/net.h
@@ -55,6 +55,9 @@
 int acceptOn(const Socket& listener);
 bool writeAll(const Socket& socket, const std::string& text);
 
+/// Ends blocked reads and writes after a time.
+void setTimeLimit(const Socket& socket, int timeLimitMs);
+
 /// Reads one message with a stated length.
 ///
 /// @param rest bytes read beyond the previous message; receives those beyond this one
