--- a/tests/at_most_once_test.cpp
+++ b/tests/at_most_once_test.cpp
@@ -199,6 +199,7 @@
 {
     Scene scene;
     std::vector<std::future<Answer>> sends;
+    sends.reserve(6);
     for (int i = 0; i < 6; ++i)
         sends.push_back(scene.sendLater(i % 2 ? "a" : "b"));
     for (auto& send : sends) {
--- a/tests/caller_test.cpp
+++ b/tests/caller_test.cpp
@@ -214,6 +214,7 @@
     startOne(fleet);
     const auto [host, port] = splitAddress(fleet.callers("a"));
     std::vector<Socket> held;
+    held.reserve(20);
     for (int i = 0; i < 20; ++i)
         held.push_back(connectTo(host, port));
     const auto refused = [&] {
