--- a/tests/gray_test.cpp
+++ b/tests/gray_test.cpp
@@ -40,11 +40,21 @@
     std::vector<std::thread> m_threads;
 };
 
-void startFive(Fleet& fleet)
+void addFive(Fleet& fleet)
 {
     for (int i = 1; i <= 5; ++i)
         fleet.addServer({ "cat-" + std::to_string(i), "catalogue", 6, 10 });
-    fleet.publishSheet(fleet.sheet(1, "floor_slots = 15\nweighting = \"detection-time\"\nhealth_path = \"/standin/health\"\ncold_start_ms = 500\n"));
+}
+
+std::string sheetOfFive(const Fleet& fleet)
+{
+    return fleet.sheet(1, "floor_slots = 15\nweighting = \"detection-time\"\nhealth_path = \"/standin/health\"\ncold_start_ms = 500\n");
+}
+
+void startFive(Fleet& fleet)
+{
+    addFive(fleet);
+    fleet.publishSheet(sheetOfFive(fleet));
     for (const std::string& name : THREE)
         fleet.addInstance(name);
     fleet.startAll();
@@ -137,6 +147,33 @@
     CHECK(servingCount(fleet) == 5);
 }
 
+TEST_CASE("A one-way cut between one instance and a server makes only that instance avoid it")
+{
+    // Instance a reads a sheet of its own, which leads to cat-1 through a relay.
+    Fleet fleet;
+    Fleet other;
+    addFive(fleet);
+    for (const std::string& name : THREE)
+        fleet.addInstance(name);
+    std::string relay;
+    const std::string control = fleet.relayServer("cat-1", relay);
+    std::string sheet = sheetOfFive(fleet);
+    fleet.publishSheet(sheet);
+    const std::string direct = fleet.serverAddress("cat-1");
+    other.publishSheet(sheet.replace(sheet.find(direct), direct.size(), relay));
+    call(other.platform(), "PUT", "/instances", {}, fleet.instanceList());
+    fleet.usePlatform("a", other.platform());
+    fleet.startAll();
+    Traffic traffic(fleet);
+    CHECK(waitFor([&] { return fleet.runs("cat-1", "/x") > 100; }));
+    Fleet::controlRelay(control, "backward=cut");
+    CHECK(waitFor([&] { return hasStanding(fleet, "a", "cat-1", "avoided"); }, 8000));
+    const auto evicted = [&] { return hasStanding(fleet, "b", "cat-1", "ejected") || hasStanding(fleet, "c", "cat-1", "ejected"); };
+    CHECK_FALSE(waitFor(evicted, 3000));
+    Fleet::controlRelay(control, "backward=pass");
+    CHECK(waitFor([&] { return hasStanding(fleet, "a", "cat-1", "serving"); }, 20000));
+}
+
 TEST_CASE("A server that flaps is held longer with each relapse")
 {
     Fleet fleet;
--- a/tests/support/fleet.cpp
+++ b/tests/support/fleet.cpp
@@ -143,7 +143,6 @@
     Server& server = m_servers[options.name];
     server.options = options;
     server.address = freeAddress();
-    server.listed = server.address;
     server.process = std::make_unique<Process>(STANDIN_PROGRAM,
         std::vector<std::string> { "server", "--listen", server.address, "--name", options.name, "--slots", std::to_string(options.slots), "--service-ms", std::to_string(options.serviceMs) },
         m_folder + "/" + options.name + ".log");
@@ -154,7 +153,7 @@
 {
     std::map<std::string, std::string> services;
     for (const auto& [name, server] : m_servers) {
-        services[server.options.service] += "[[service.server]]\nname = \"" + name + "\"\naddress = \"" + server.listed
+        services[server.options.service] += "[[service.server]]\nname = \"" + name + "\"\naddress = \"" + server.address
             + "\"\nzone = \"leon\"\nslots = " + std::to_string(server.options.slots) + "\n";
     }
     std::string text = "version = " + std::to_string(version) + "\n";
@@ -180,9 +179,14 @@
 }
 
 void Fleet::cutFromPlatform(const std::string& name)
+{
+    usePlatform(name, m_host + ":1");
+}
+
+void Fleet::usePlatform(const std::string& name, const std::string& address)
 {
     std::string& settings = m_instances.at(name).settings;
-    settings.replace(settings.find(m_platformAddress), m_platformAddress.size(), m_host + ":1");
+    settings.replace(settings.find(m_platformAddress), m_platformAddress.size(), address);
 }
 
 void Fleet::addSeed(const std::string& name, const std::string& peer)
@@ -192,6 +196,11 @@
 }
 
 void Fleet::publishInstances(const std::map<std::string, std::string>& states, const std::string& leavingServer)
+{
+    call(m_platformAddress, "PUT", "/instances", {}, instanceList(states, leavingServer));
+}
+
+std::string Fleet::instanceList(const std::map<std::string, std::string>& states, const std::string& leavingServer) const
 {
     std::string list;
     for (const auto& [name, instance] : m_instances) {
@@ -203,7 +212,7 @@
             + (state == states.end() ? "live" : state->second) + R"("})";
     }
     const std::string servers = leavingServer.empty() ? "" : R"({"name":")" + leavingServer + R"(","state":"leaving"})";
-    call(m_platformAddress, "PUT", "/instances", {}, "{\"instances\":[" + list + "],\"servers\":[" + servers + "]}");
+    return "{\"instances\":[" + list + "],\"servers\":[" + servers + "]}";
 }
 
 void Fleet::addInstance(const std::string& name, const std::string& zone, const std::string& moreSettings)
@@ -264,13 +273,12 @@
     return control;
 }
 
-std::string Fleet::relayServer(const std::string& name)
+std::string Fleet::relayServer(const std::string& name, std::string& address)
 {
-    const std::string address = freeAddress();
+    address = freeAddress();
     const std::string control = freeAddress();
     m_relays.push_back(std::make_unique<Process>(STANDIN_PROGRAM,
         std::vector<std::string> { "relay", "--listen", address, "--control", control, "--to", serverAddress(name) }, m_folder + "/relay.log"));
-    m_servers.at(name).listed = address;
     return control;
 }
 
--- a/tests/support/fleet.h
+++ b/tests/support/fleet.h
@@ -60,6 +60,8 @@
     void publishSheet(const std::string& text);
     /// Shows a backend server as leaving in the instance list.
     void publishLeavingServer(const std::string& server);
+    /// @return the instance list as the platform serves it
+    std::string instanceList(const std::map<std::string, std::string>& states = {}, const std::string& leavingServer = {}) const;
     void publishInstances(const std::map<std::string, std::string>& states = {}, const std::string& leavingServer = {});
 
     /// Prepares an entry instance without starting it.
@@ -67,6 +69,8 @@
     void start(const std::string& name);
     /// Leads the settings to a platform that does not answer. Call before `start`.
     void cutFromPlatform(const std::string& name);
+    /// Leads the settings to another platform. Call before `start`.
+    void usePlatform(const std::string& name, const std::string& address);
     /// Names a peer in the settings. Call before `start`.
     void addSeed(const std::string& name, const std::string& peer);
     /// Starts all instances and waits until they are ready and know each other.
@@ -87,8 +91,11 @@
     ///
     /// @return the control address of the relay
     std::string relayPeers(const std::string& from, const std::string& to);
-    /// Puts a relay before a backend server. Call after `addServer`, before `sheet`.
-    std::string relayServer(const std::string& name);
+    /// Puts a relay before a backend server.
+    ///
+    /// @param address receives where the relay listens
+    /// @return the control address of the relay
+    std::string relayServer(const std::string& name, std::string& address);
 
     void controlServer(const std::string& name, const std::string& pairs);
     void controlPlatform(const std::string& mode);
@@ -114,7 +121,6 @@
     struct Server {
         ServerOptions options;
         std::string address;
-        std::string listed;
         std::unique_ptr<Process> process;
     };
 
