--- a/benchmark/fleet.cpp
+++ b/benchmark/fleet.cpp
@@ -129,6 +129,19 @@
     fleet.start(names[7]);
     fleet.waitReady(names[7]);
 
+    fleet.instance(names[8]).signal(SIGTERM);
+    const auto leaveKnown = [&] {
+        for (const std::string& name : names) {
+            if (name != names[8] && fleet.status(name).find("\"name\":\"" + names[8] + "\",\"zone\":\"irapuato\",\"state\":\"alive\"") != std::string::npos)
+                return false;
+        }
+        return true;
+    };
+    std::printf("leaving instance known everywhere: %.2f s\n", secondsUntil(leaveKnown));
+    fleet.instance(names[8]).wait(15000);
+    fleet.start(names[8]);
+    fleet.waitReady(names[8]);
+
     Load load;
     std::vector<std::thread> threads;
     threads.reserve(LOAD_THREADS);
--- a/tests/fleet_test.cpp
+++ b/tests/fleet_test.cpp
@@ -404,6 +404,49 @@
     }
 }
 
+TEST_CASE("Keys whose heir dies end in unknown, and no order runs again")
+{
+    Fleet fleet;
+    startThree(fleet);
+    const std::string used = fleet.fetchKey("a");
+    const std::string fresh = fleet.fetchKey("a");
+    const auto send = [&](const std::string& instance, const std::string& key, const std::string& order) {
+        return call(fleet.callers(instance), "POST", "/orders", { { "Idempotency-Key", key } }, order);
+    };
+    CHECK(send("a", used, "used-order")->status() == 200);
+    // Only b can accept.
+    fleet.instance("c").signal(SIGSTOP);
+    fleet.instance("a").signal(SIGTERM);
+    CHECK(fleet.instance("a").wait(15000) == 0);
+    fleet.instance("b").kill();
+    fleet.instance("c").signal(SIGCONT);
+    for (const auto& [key, order] : { std::pair { used, "used-order" }, std::pair { fresh, "fresh-order" } }) {
+        INFO(order);
+        const auto answer = send("c", key, order);
+        REQUIRE(answer);
+        CHECK(answer->header("cornelwind-outcome") == "unknown");
+    }
+    CHECK(fleet.runs("used-order") == 1);
+    CHECK(fleet.runs("fresh-order") == 0);
+}
+
+TEST_CASE("A stop without anyone to hand over to still ends, and cuts nothing")
+{
+    Fleet fleet;
+    startThree(fleet);
+    const std::string key = fleet.fetchKey("a");
+    for (const char* name : { "b", "c" })
+        fleet.instance(name).signal(SIGSTOP);
+    fleet.instance("a").signal(SIGTERM);
+    const auto answer = call(fleet.callers("a"), "POST", "/orders", { { "Idempotency-Key", key } }, "late-order");
+    REQUIRE(answer);
+    CHECK(answer->status() == 200);
+    CHECK(fleet.instance("a").wait(15000) == 0);
+    for (const char* name : { "b", "c" })
+        fleet.instance(name).signal(SIGCONT);
+    CHECK(fleet.runs("late-order") == 1);
+}
+
 TEST_CASE("Killing all but one instance doubles nothing, and the last one serves on")
 {
     Fleet fleet;
