--- a/tests/caller_test.cpp
+++ b/tests/caller_test.cpp
@@ -191,6 +191,21 @@
     CHECK(stillServes(fleet));
 }
 
+TEST_CASE("The time that is left travels to the backend server, which may decline")
+{
+    Fleet fleet;
+    startOne(fleet);
+    fleet.controlServer("cat-1", "service_ms=200");
+    const auto declined = call(fleet.callers("a"), "GET", "/catalogue/short", { { "Cornelwind-Deadline-Ms", "100" } });
+    REQUIRE(declined);
+    CHECK(declined->status() == 503);
+    CHECK(declined->header("cornelwind-outcome") == "not-run");
+    CHECK(fleet.runs("short") == 0);
+    const auto served = call(fleet.callers("a"), "GET", "/catalogue/long", { { "Cornelwind-Deadline-Ms", "600" } });
+    REQUIRE(served);
+    CHECK(served->status() == 200);
+}
+
 TEST_CASE("A caller that goes away cancels a look-up and not an order")
 {
     Fleet fleet;
--- a/tests/standin/server.cpp
+++ b/tests/standin/server.cpp
@@ -29,8 +29,11 @@
         void serve(Socket socket)
         {
             const int fd = socket.fd();
+            const auto limit = static_cast<std::size_t>(setting("connection_limit", 330));
             {
                 const std::lock_guard lock(m_mutex);
+                if (m_connections.size() >= limit)
+                    return;
                 m_connections.insert(fd);
             }
             // An idle connection is closed after this time, as servers do.
@@ -60,6 +63,9 @@
             }
             if (request.target() == "/standin/health")
                 return serveHealth(socket);
+            // The load endpoint lies as well: it shows what it is told to.
+            if (request.target() == "/standin/load")
+                return writeAll(socket, makeAnswer(200, std::to_string(setting("shown_load", m_running)) + "\n"));
             return work(request, socket);
         }
 
@@ -88,12 +94,30 @@
                 headers["X-Shed"] = "1";
                 return writeAll(socket, makeAnswer(503, "shed\n", headers));
             }
+            if (lacksTime(request)) {
+                --m_running;
+                headers["X-Shed"] = "1";
+                return writeAll(socket, makeAnswer(503, "no time left\n", headers));
+            }
             record("run", request);
             const bool answered = run(request, socket, headers);
             --m_running;
             return answered;
         }
 
+        bool lacksTime(const Message& request)
+        {
+            const std::string remaining = request.header("cornelwind-deadline-ms");
+            return !remaining.empty() && std::atoi(remaining.c_str()) < setting("service_ms");
+        }
+
+        // Slower by cold_factor percent until cold_ms after the start.
+        int coldFactor()
+        {
+            const bool cold = Clock::now() < m_start + std::chrono::milliseconds(setting("cold_ms"));
+            return cold ? setting("cold_factor", 500) : 100;
+        }
+
         bool run(const Message& request, const Socket& socket, std::map<std::string, std::string>& headers)
         {
             if (request.body.find("crash") != std::string::npos || request.target().find("crash") != std::string::npos)
@@ -101,7 +125,7 @@
             int serviceMs = setting("service_ms");
             if (chance("stall_percent"))
                 serviceMs = 60000;
-            serviceMs = serviceMs * setting("slow_factor", 100) / 100;
+            serviceMs = serviceMs * setting("slow_factor", 100) / 100 * coldFactor() / 100;
             if (!sleepUnlessClosed(socket, serviceMs)) {
                 record("cancelled", request);
                 return false;
@@ -164,6 +188,7 @@
             return percent && static_cast<int>(m_random() % 100) < percent;
         }
 
+        const Clock::time_point m_start = Clock::now();
         const std::string m_name;
         const int m_slots;
         std::atomic<int> m_running = 0;
--- a/tests/support/fleet.cpp
+++ b/tests/support/fleet.cpp
@@ -134,8 +134,13 @@
 
 std::string Fleet::freeAddress()
 {
-    const Socket socket = listenOn(m_host, 0);
-    return m_host + ":" + std::to_string(portOf(socket));
+    // The system may choose a port again that was handed out and is not yet in use.
+    for (;;) {
+        const Socket socket = listenOn(m_host, 0);
+        const std::uint16_t port = portOf(socket);
+        if (m_ports.insert(port).second)
+            return m_host + ":" + std::to_string(port);
+    }
 }
 
 void Fleet::addServer(const ServerOptions& options)
--- a/tests/support/fleet.h
+++ b/tests/support/fleet.h
@@ -8,6 +8,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -126,6 +127,7 @@
 
     std::string m_folder;
     std::string m_host;
+    std::set<std::uint16_t> m_ports;
     std::string m_platformAddress;
     std::unique_ptr<Process> m_platform;
     std::map<std::string, Instance> m_instances;
