Exchange messages between entry instances over ZeroMQ, since nng crashes when a peer goes

Cause: SIGSEGV in nng_sendmsg, called from PeerLink::send in a tick (core dump). The PUSH socket of nng 1.5.2 had a closed pipe in its ready list, whose memory held other data: a pipe that closes while a message is being sent is put back into the list after it was removed. Ruled out: a stop that does not end (every log of a failing run ends with "Stopped."; runs took 4 to 5 s, not 15), and the handover. Process::wait now tells a signal (128 + number) from a process that does not end. Conclusion: nng as Debian serves it does not fit; ZeroMQ is its nearest kin.

--- a/scripts/install.sh
+++ b/scripts/install.sh
@@ -2,7 +2,7 @@
 # Installs what the build needs from Debian's packages, where it is missing.
 set -euo pipefail
 packages=(g++ cmake ninja-build ccache pkg-config clang-format clang-tidy libboost1.81-dev libboost-json1.81-dev
-    libboost-url1.81-dev libnng-dev prometheus-cpp-dev libtomlplusplus-dev libpopt-dev liblog4cxx-dev catch2
+    libboost-url1.81-dev libzmq3-dev prometheus-cpp-dev libtomlplusplus-dev libpopt-dev liblog4cxx-dev catch2
     librapidcheck-dev libprotobuf-dev libxxhash-dev libssl-dev curl)
 missing=()
 for package in "${packages[@]}"; do
--- a/src/shell/peer_link.cpp
+++ b/src/shell/peer_link.cpp
@@ -4,18 +4,18 @@
 #include "peer.pb.h"
 
 #include <boost/asio/post.hpp>
-#include <nng/protocol/pipeline0/pull.h>
-#include <nng/protocol/pipeline0/push.h>
-
-#include <atomic>
+#include <zmq.h>
 
 namespace cornelwind {
 namespace {
 
-    constexpr std::size_t MAX_MESSAGE_BYTES = 17 * 1024 * 1024;
-    constexpr int SEND_QUEUE = 64;
-    constexpr nng_duration MIN_REDIAL_MS = 50;
-    constexpr nng_duration MAX_REDIAL_MS = 500;
+    constexpr std::int64_t MAX_MESSAGE_BYTES = 17 * 1024 * 1024;
+    constexpr int SEND_QUEUE = 256;
+    constexpr int MIN_REDIAL_MS = 50;
+    constexpr int MAX_REDIAL_MS = 500;
+    constexpr int MAX_SOCKETS = 8192;
+    // Other events of the entry instance are handled after this many messages.
+    constexpr int MESSAGES_PER_TURN = 64;
     constexpr Duration UNUSED_TIME = std::chrono::seconds(60);
 
     std::string urlOf(const Endpoint& address)
@@ -23,90 +23,106 @@
         return "tcp://" + toString(address);
     }
 
-} // namespace
-
-/// The receiving socket. Its callback runs on a thread of nng and only posts.
-class PeerLink::Inbox {
-public:
-    Inbox(boost::asio::io_context& io, Handler handler)
-        : m_io(io)
-        , m_handler(std::move(handler))
+    void setOption(void* socket, int option, int value)
     {
-        nng_pull0_open(&m_socket);
-        nng_socket_set_size(m_socket, NNG_OPT_RECVMAXSZ, MAX_MESSAGE_BYTES);
-        nng_aio_alloc(&m_aio, &Inbox::onReceived, this);
+        zmq_setsockopt(socket, option, &value, sizeof(value));
     }
 
-    ~Inbox()
+    bool readable(void* socket)
     {
-        nng_close(m_socket);
-        nng_aio_stop(m_aio);
-        nng_aio_free(m_aio);
+        int events = 0;
+        std::size_t size = sizeof(events);
+        zmq_getsockopt(socket, ZMQ_EVENTS, &events, &size);
+        return events & ZMQ_POLLIN;
     }
 
-    Inbox(const Inbox&) = delete;
-    Inbox& operator=(const Inbox&) = delete;
-
-    int listen(const Endpoint& address)
+    int signalOf(void* socket)
     {
-        const int error = nng_listen(m_socket, urlOf(address).c_str(), nullptr, 0);
-        if (!error)
-            nng_recv_aio(m_socket, m_aio);
-        return error;
+        int descriptor = -1;
+        std::size_t size = sizeof(descriptor);
+        zmq_getsockopt(socket, ZMQ_FD, &descriptor, &size);
+        return descriptor;
     }
 
-    std::uint64_t bytes() const { return m_bytes; }
-
-private:
-    static void onReceived(void* context) { static_cast<Inbox*>(context)->receive(); }
-
-    void receive()
-    {
-        const int result = nng_aio_result(m_aio);
-        if (result == NNG_ECLOSED || result == NNG_ECANCELED)
-            return;
-        if (!result)
-            accept(nng_aio_get_msg(m_aio));
-        nng_recv_aio(m_socket, m_aio);
-    }
+} // namespace
 
-    void accept(nng_msg* raw)
-    {
-        auto message = std::make_shared<peer::Envelope>();
-        m_bytes += nng_msg_len(raw);
-        const bool parsed = message->ParseFromArray(nng_msg_body(raw), static_cast<int>(nng_msg_len(raw)));
-        nng_msg_free(raw);
-        if (parsed)
-            boost::asio::post(m_io, [handler = m_handler, message] { handler(message); });
-    }
+void PeerLink::ContextDeleter::operator()(void* context) const
+{
+    zmq_ctx_term(context);
+}
 
-    boost::asio::io_context& m_io;
-    Handler m_handler;
-    nng_socket m_socket {};
-    nng_aio* m_aio = nullptr;
-    std::atomic<std::uint64_t> m_bytes = 0;
-};
+void PeerLink::SocketDeleter::operator()(void* socket) const
+{
+    zmq_close(socket);
+}
 
 PeerLink::PeerLink(boost::asio::io_context& io, Handler handler)
-    : m_io(io)
-    , m_inbox(std::make_shared<Inbox>(io, std::move(handler)))
+    : m_handler(std::move(handler))
+    , m_context(zmq_ctx_new())
+    , m_inboxSignal(io)
 {
+    zmq_ctx_set(m_context.get(), ZMQ_MAX_SOCKETS, MAX_SOCKETS);
+    m_inbox = makeSocket(ZMQ_PULL);
     // A peer's malformed message is dropped; the library would write about each.
     google::protobuf::SetLogHandler(nullptr);
 }
 
 PeerLink::~PeerLink()
 {
-    for (auto& [url, outbox] : m_outboxes)
-        nng_close(outbox.socket);
+    if (m_inboxSignal.is_open())
+        m_inboxSignal.release();
+}
+
+PeerLink::SocketPtr PeerLink::makeSocket(int type) const
+{
+    SocketPtr socket(zmq_socket(m_context.get(), type));
+    if (socket)
+        setOption(socket.get(), ZMQ_LINGER, 0);
+    return socket;
 }
 
 bool PeerLink::listen(const Endpoint& address, Reason& reason)
 {
-    const int error = m_inbox->listen(address);
-    if (error)
-        reason = { ErrorKind::ListenFailed, 0, toString(address) + ": " + nng_strerror(error) };
-    return !error;
+    zmq_setsockopt(m_inbox.get(), ZMQ_MAXMSGSIZE, &MAX_MESSAGE_BYTES, sizeof(MAX_MESSAGE_BYTES));
+    if (zmq_bind(m_inbox.get(), urlOf(address).c_str())) {
+        reason = { ErrorKind::ListenFailed, 0, toString(address) + ": " + zmq_strerror(zmq_errno()) };
+        return false;
+    }
+    m_inboxSignal.assign(signalOf(m_inbox.get()));
+    drainInbox();
+    return true;
+}
+
+void PeerLink::awaitInbox()
+{
+    m_inboxSignal.async_wait(boost::asio::posix::stream_descriptor::wait_read, [this](boost::system::error_code error) {
+        if (!error)
+            drainInbox();
+    });
+}
+
+// The descriptor signals changes only, so it may be waited for only once the inbox was seen empty.
+void PeerLink::drainInbox()
+{
+    for (int i = 0; i < MESSAGES_PER_TURN; ++i) {
+        if (!readable(m_inbox.get()))
+            return awaitInbox();
+        receiveOne();
+    }
+    boost::asio::post(m_inboxSignal.get_executor(), [this] { drainInbox(); });
+}
+
+void PeerLink::receiveOne()
+{
+    zmq_msg_t raw;
+    zmq_msg_init(&raw);
+    if (zmq_msg_recv(&raw, m_inbox.get(), ZMQ_DONTWAIT) >= 0) {
+        auto message = std::make_shared<peer::Envelope>();
+        m_bytesReceived += zmq_msg_size(&raw);
+        if (message->ParseFromArray(zmq_msg_data(&raw), static_cast<int>(zmq_msg_size(&raw))))
+            m_handler(std::move(message));
+    }
+    zmq_msg_close(&raw);
 }
 
 void PeerLink::send(const Endpoint& address, const peer::Envelope& message)
@@ -116,15 +132,14 @@
         return;
     outbox->lastUsed = steadyNow();
     const std::size_t size = message.ByteSizeLong();
-    nng_msg* raw = nullptr;
-    if (nng_msg_alloc(&raw, size))
+    zmq_msg_t raw;
+    if (zmq_msg_init_size(&raw, size))
         return;
-    message.SerializeToArray(nng_msg_body(raw), static_cast<int>(size));
-    if (nng_sendmsg(outbox->socket, raw, NNG_FLAG_NONBLOCK)) {
-        nng_msg_free(raw);
-        return;
-    }
-    m_bytesSent += size;
+    message.SerializeToArray(zmq_msg_data(&raw), static_cast<int>(size));
+    if (zmq_msg_send(&raw, outbox->socket.get(), ZMQ_DONTWAIT) < 0)
+        zmq_msg_close(&raw);
+    else
+        m_bytesSent += size;
 }
 
 PeerLink::Outbox* PeerLink::outboxOf(const Endpoint& address)
@@ -133,34 +148,20 @@
     const auto found = m_outboxes.find(url);
     if (found != m_outboxes.end())
         return &found->second;
-    Outbox outbox {};
-    if (nng_push0_open(&outbox.socket))
+    Outbox outbox { makeSocket(ZMQ_PUSH), {} };
+    if (!outbox.socket)
         return nullptr;
-    nng_socket_set_int(outbox.socket, NNG_OPT_SENDBUF, SEND_QUEUE);
-    nng_socket_set_ms(outbox.socket, NNG_OPT_RECONNMINT, MIN_REDIAL_MS);
-    nng_socket_set_ms(outbox.socket, NNG_OPT_RECONNMAXT, MAX_REDIAL_MS);
-    if (nng_dial(outbox.socket, url.c_str(), nullptr, NNG_FLAG_NONBLOCK)) {
-        nng_close(outbox.socket);
+    setOption(outbox.socket.get(), ZMQ_SNDHWM, SEND_QUEUE);
+    setOption(outbox.socket.get(), ZMQ_RECONNECT_IVL, MIN_REDIAL_MS);
+    setOption(outbox.socket.get(), ZMQ_RECONNECT_IVL_MAX, MAX_REDIAL_MS);
+    if (zmq_connect(outbox.socket.get(), url.c_str()))
         return nullptr;
-    }
-    return &m_outboxes.emplace(url, outbox).first->second;
+    return &m_outboxes.emplace(url, std::move(outbox)).first->second;
 }
 
 void PeerLink::closeUnused(Time now)
 {
-    for (auto outbox = m_outboxes.begin(); outbox != m_outboxes.end();) {
-        if (now - outbox->second.lastUsed < UNUSED_TIME) {
-            ++outbox;
-            continue;
-        }
-        nng_close(outbox->second.socket);
-        outbox = m_outboxes.erase(outbox);
-    }
-}
-
-std::uint64_t PeerLink::bytesReceived() const
-{
-    return m_inbox->bytes();
+    std::erase_if(m_outboxes, [now](const auto& row) { return now - row.second.lastUsed >= UNUSED_TIME; });
 }
 
 } // namespace cornelwind
--- a/src/shell/peer_link.h
+++ b/src/shell/peer_link.h
@@ -4,13 +4,12 @@
 #include "cornelwind/types.h"
 
 #include <boost/asio/io_context.hpp>
-#include <nng/nng.h>
+#include <boost/asio/posix/stream_descriptor.hpp>
 
 #include <cstdint>
 #include <functional>
 #include <map>
 #include <memory>
-#include <optional>
 #include <string>
 
 namespace cornelwind {
@@ -19,16 +18,18 @@
     class Envelope;
 }
 
-/// Exchanges messages with other entry instances over nng.
+/// Exchanges messages with other entry instances over ZeroMQ.
 ///
-/// Each instance listens on one PULL socket and dials one PUSH socket per peer.
-/// A message is sent at most once by this class; it may get lost, or arrive
-/// late after a partition. PUSH and PULL never resend, unlike REQ and REP.
+/// Each instance listens on one PULL socket and connects one PUSH socket to
+/// each peer. A message is sent at most once by this class; it may get lost, or
+/// arrive late after a partition. PUSH and PULL never resend.
+///
+/// Memory: at most 256 unsent messages for each peer.
 class PeerLink {
 public:
     using Handler = std::function<void(std::shared_ptr<const peer::Envelope>)>;
 
-    /// @param io runs the handler; must outlive the link
+    /// @param io runs the handler; must outlive the link and not run after it
     PeerLink(boost::asio::io_context& io, Handler handler);
     ~PeerLink();
     PeerLink(const PeerLink&) = delete;
@@ -44,21 +45,35 @@
     void closeUnused(Time now);
 
     std::uint64_t bytesSent() const { return m_bytesSent; }
-    std::uint64_t bytesReceived() const;
+    std::uint64_t bytesReceived() const { return m_bytesReceived; }
 
 private:
+    struct ContextDeleter {
+        void operator()(void* context) const;
+    };
+    struct SocketDeleter {
+        void operator()(void* socket) const;
+    };
+    using SocketPtr = std::unique_ptr<void, SocketDeleter>;
     struct Outbox {
-        nng_socket socket;
+        SocketPtr socket;
         Time lastUsed;
     };
-    class Inbox;
 
+    SocketPtr makeSocket(int type) const;
     Outbox* outboxOf(const Endpoint& address);
+    void awaitInbox();
+    void drainInbox();
+    void receiveOne();
 
-    boost::asio::io_context& m_io;
-    std::shared_ptr<Inbox> m_inbox;
+    Handler m_handler;
+    std::unique_ptr<void, ContextDeleter> m_context;
+    SocketPtr m_inbox;
+    /// Watches the descriptor that the inbox signals with; does not own it.
+    boost::asio::posix::stream_descriptor m_inboxSignal;
     std::map<std::string, Outbox> m_outboxes;
     std::uint64_t m_bytesSent = 0;
+    std::uint64_t m_bytesReceived = 0;
 };
 
 } // namespace cornelwind
--- /dev/null
+++ b/tests/link_test.cpp
@@ -0,0 +1,135 @@
+// The connections between entry instances, with peers that come and go.
+#include "peer.pb.h"
+#include "peer_link.h"
+#include "support/fleet.h"
+
+#include <catch2/catch.hpp>
+
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/io_context.hpp>
+
+#include <unistd.h>
+
+#include <atomic>
+#include <memory>
+#include <optional>
+#include <string>
+#include <thread>
+
+using namespace cornelwind;
+using test::waitFor;
+
+namespace {
+
+constexpr Duration RUN_SLICE = std::chrono::milliseconds(1);
+
+peer::Envelope numbered(std::uint64_t number)
+{
+    peer::Envelope message;
+    message.set_version(1);
+    message.mutable_ping()->set_sequence(number);
+    return message;
+}
+
+Endpoint freeEndpoint()
+{
+    const std::string host = "127.77." + std::to_string(1 + getpid() / 250 % 250) + "." + std::to_string(1 + getpid() % 250);
+    return { host, test::portOf(test::listenOn(host, 0)) };
+}
+
+/// A listening link on a thread of its own, as another process would be.
+class Receiver {
+public:
+    explicit Receiver(const Endpoint& address)
+        : m_link(std::make_unique<PeerLink>(m_io, [this](const std::shared_ptr<const peer::Envelope>& message) {
+            m_last = message->ping().sequence();
+            ++m_count;
+        }))
+    {
+        Reason reason;
+        listening = waitFor([&] { return m_link->listen(address, reason); });
+        m_thread = std::thread([this] { m_io.run(); });
+    }
+
+    ~Receiver()
+    {
+        m_io.stop();
+        m_thread.join();
+    }
+
+    Receiver(const Receiver&) = delete;
+    Receiver& operator=(const Receiver&) = delete;
+
+    std::uint64_t last() const { return m_last; }
+    std::uint64_t count() const { return m_count; }
+    bool listening = false;
+
+private:
+    boost::asio::io_context m_io;
+    boost::asio::executor_work_guard<boost::asio::io_context::executor_type> m_work { m_io.get_executor() };
+    std::atomic<std::uint64_t> m_last = 0;
+    std::atomic<std::uint64_t> m_count = 0;
+    std::unique_ptr<PeerLink> m_link;
+    std::thread m_thread;
+};
+
+/// A sending link whose handlers run while the test waits.
+class Sender {
+public:
+    explicit Sender(const Endpoint& to)
+        : m_to(to)
+        , m_link(m_io, [](const std::shared_ptr<const peer::Envelope>&) {})
+    {
+    }
+
+    void send() { m_link.send(m_to, numbered(++m_sent)); }
+    void run()
+    {
+        m_io.restart();
+        m_io.run_for(RUN_SLICE);
+    }
+    std::uint64_t sent() const { return m_sent; }
+
+private:
+    Endpoint m_to;
+    boost::asio::io_context m_io;
+    PeerLink m_link;
+    std::uint64_t m_sent = 0;
+};
+
+} // namespace
+
+TEST_CASE("A peer that goes away in the middle of messages does not bring the sender down")
+{
+    constexpr int RESTARTS = 100;
+    const Endpoint address = freeEndpoint();
+    Sender sender(address);
+    for (int i = 0; i < RESTARTS; ++i) {
+        Receiver receiver(address);
+        REQUIRE(receiver.listening);
+        const auto arrived = [&] {
+            for (int j = 0; j < 20; ++j)
+                sender.send();
+            sender.run();
+            return receiver.count() > 0;
+        };
+        REQUIRE(waitFor(arrived));
+    }
+}
+
+TEST_CASE("Messages sent before the peer listens arrive in order once it does")
+{
+    constexpr std::uint64_t MESSAGES = 20;
+    const Endpoint address = freeEndpoint();
+    Sender sender(address);
+    while (sender.sent() < MESSAGES)
+        sender.send();
+    Receiver receiver(address);
+    REQUIRE(receiver.listening);
+    const auto arrived = [&] {
+        sender.run();
+        return receiver.count() == MESSAGES;
+    };
+    CHECK(waitFor(arrived));
+    CHECK(receiver.last() == MESSAGES);
+}
--- a/tests/support/fleet.cpp
+++ b/tests/support/fleet.cpp
@@ -22,6 +22,8 @@
 namespace {
 
     constexpr int POLL_MS = 10;
+    // As shells do, so that a crash is told apart from a process that does not end.
+    constexpr int SIGNAL_EXIT_BASE = 128;
 
     std::size_t countOf(const std::string& text, const std::string& part)
     {
@@ -83,7 +85,7 @@
     if (!ended)
         return std::nullopt;
     m_pid = -1;
-    return WIFEXITED(state) ? std::optional(WEXITSTATUS(state)) : std::nullopt;
+    return WIFEXITED(state) ? WEXITSTATUS(state) : SIGNAL_EXIT_BASE + WTERMSIG(state);
 }
 
 double Process::cpuSeconds() const
--- a/tests/support/fleet.h
+++ b/tests/support/fleet.h
@@ -26,7 +26,7 @@
     void signal(int number) const;
     /// Kills it at once.
     void kill();
-    /// @return its exit code, or nothing after the time limit or a signal
+    /// @return its exit code, 128 + the number of the signal that ended it, or nothing after the time limit
     std::optional<int> wait(int timeLimitMs);
     pid_t pid() const { return m_pid; }
     /// @return processor time that it has used
