Remember the source of evidence as long as the evidence counts

Cause: the score of a server outlived the record of who had made it (time constant 2.5 s, then erased). Ruled out: claims of peers (the first ejection has none), natural failures at the other entry instances (their bad share is 0.4 to 1.5%). Change: the memory of sources spans about 8 s instead of 2.5 s.

--- a/src/decision/detector.cpp
+++ b/src/decision/detector.cpp
@@ -10,7 +10,8 @@
     constexpr double LONG_DECAY = 0.992;
     constexpr double SHORT_DECAY = 0.92;
     constexpr double LATENCY_DECAY = 0.9;
-    constexpr double SOURCE_DECAY = 0.9;
+    // About 8 s: the source of evidence has to be known while the evidence counts.
+    constexpr double SOURCE_DECAY = 0.97;
     // Assumed outcomes, so that a few samples do not make an expectation.
     constexpr double PRIOR_SAMPLES = 50;
     constexpr double PRIOR_SAMPLES_NOW = 4;
--- a/tests/detector_test.cpp
+++ b/tests/detector_test.cpp
@@ -16,18 +16,31 @@
 constexpr Duration STEP = std::chrono::milliseconds(10);
 constexpr std::size_t SERVERS = 6;
 
+Sheet makeSheet()
+{
+    Sheet sheet;
+    SheetService& service = sheet.services.emplace_back();
+    service.weighting = Weighting::DetectionTime;
+    for (std::size_t i = 0; i < SERVERS; ++i)
+        service.servers.push_back({ ServerName { "s" + std::to_string(i) }, {}, {}, Slots { 4 } });
+    return sheet;
+}
+
+std::vector<ServerId> idsOf(const Sheet& sheet)
+{
+    std::vector<ServerId> ids;
+    for (const SheetServer& server : sheet.services[0].servers)
+        ids.push_back(serverIdOf(server.name));
+    return ids;
+}
+
 /// A service on which one answer in 30 takes 24 medians, as heavy tails do.
 class Service {
 public:
     Service()
     {
-        Sheet sheet;
-        SheetService& service = sheet.services.emplace_back();
-        service.weighting = Weighting::DetectionTime;
-        for (std::size_t i = 0; i < SERVERS; ++i) {
-            service.servers.push_back({ ServerName { "s" + std::to_string(i) }, {}, {}, Slots { 4 } });
-            m_ids.push_back(serverIdOf(service.servers.back().name));
-        }
+        const Sheet sheet = makeSheet();
+        m_ids = idsOf(sheet);
         m_detector.adopt(sheet);
     }
 
@@ -103,6 +116,45 @@
     CHECK(service.score() >= ejectionThreshold(Weighting::DetectionTime));
 }
 
+TEST_CASE("The only accuser of a server is known for as long as its evidence counts")
+{
+    constexpr std::uint64_t PEERS = 14;
+    constexpr std::uint64_t ACCUSER = 1;
+    Detector detector;
+    const Sheet sheet = makeSheet();
+    const std::vector<ServerId> ids = idsOf(sheet);
+    detector.adopt(sheet);
+    const double threshold = ejectionThreshold(Weighting::DetectionTime);
+    std::uint64_t sequence = 0;
+    Time now { std::chrono::seconds(1) };
+    // Every peer but the accuser sees only good outcomes.
+    const auto round = [&](std::uint32_t failures) {
+        ++sequence;
+        for (std::uint64_t peer = ACCUSER; peer <= PEERS; ++peer) {
+            Digest digest { sequence, {} };
+            for (const ServerId id : ids)
+                digest.rows.push_back({ id, { 1, 0, 0, 0 } });
+            if (peer == ACCUSER)
+                digest.rows[0].tally = { failures, failures, 0, 0 };
+            detector.merge(peer, 1, digest, now);
+        }
+        now += EVIDENCE_INTERVAL;
+        detector.evaluate(now);
+        return detector.judge(ids[0]);
+    };
+    for (int i = 0; i < 40; ++i)
+        round(0);
+    int accused = 0;
+    for (Judgement judgement = round(12); accused < 200; judgement = round(0)) {
+        const bool above = judgement.score >= threshold;
+        if (accused && !above)
+            break;
+        accused += above;
+        CHECK((!above || judgement.loudestShare > ONE_SOURCE_SHARE));
+    }
+    CHECK(accused > 0);
+}
+
 TEST_CASE("Evidence grows with the degree of a bad outcome and never falls with it")
 {
     struct Row {
