--- a/src/decision/selector.cpp
+++ b/src/decision/selector.cpp
@@ -100,12 +100,16 @@
         mostSlots = std::max(mostSlots, candidate.slots);
     }
     // Slot by slot rather than server by server, so that an instance's slots lie on different servers.
+    // Where the rounds would give a server to the same instances again, they are shifted by one.
+    const auto servers = static_cast<std::uint32_t>(std::count_if(candidates.begin(), candidates.end(), [](const Candidate& candidate) { return candidate.slots > 0; }));
+    const std::uint32_t period = instances / std::gcd(servers, instances);
     std::uint64_t position = 0;
     for (std::uint32_t slot = 0; slot < mostSlots; ++slot) {
+        const std::uint32_t shift = slot / period;
         for (const std::size_t index : order) {
             if (candidates[index].slots <= slot)
                 continue;
-            if (position++ % instances == rank)
+            if ((position++ + shift) % instances == rank)
                 ++candidates[index].ownSlots;
         }
     }
--- a/tests/gray_test.cpp
+++ b/tests/gray_test.cpp
@@ -46,15 +46,15 @@
         fleet.addServer({ "cat-" + std::to_string(i), "catalogue", 6, 10 });
 }
 
-std::string sheetOfFive(const Fleet& fleet)
+std::string sheetOf(const Fleet& fleet, int version = 1, int coldStartMs = 500)
 {
-    return fleet.sheet(1, "floor_slots = 15\nweighting = \"detection-time\"\nhealth_path = \"/standin/health\"\ncold_start_ms = 500\n");
+    return fleet.sheet(version, "floor_slots = 15\nweighting = \"detection-time\"\nhealth_path = \"/standin/health\"\ncold_start_ms = " + std::to_string(coldStartMs) + "\n");
 }
 
 void startFive(Fleet& fleet)
 {
     addFive(fleet);
-    fleet.publishSheet(sheetOfFive(fleet));
+    fleet.publishSheet(sheetOf(fleet));
     for (const std::string& name : THREE)
         fleet.addInstance(name);
     fleet.startAll();
@@ -157,7 +157,7 @@
         fleet.addInstance(name);
     std::string relay;
     const std::string control = fleet.relayServer("cat-1", relay);
-    std::string sheet = sheetOfFive(fleet);
+    std::string sheet = sheetOf(fleet);
     fleet.publishSheet(sheet);
     const std::string direct = fleet.serverAddress("cat-1");
     other.publishSheet(sheet.replace(sheet.find(direct), direct.size(), relay));
@@ -187,3 +187,20 @@
     };
     CHECK(waitFor(relapsed, 25000));
 }
+
+TEST_CASE("A new server that starts cold is not ejected for its slowness")
+{
+    // The server stays slow for longer than the test looks, and the sheet allows for that.
+    constexpr int COLD_START_MS = 20000;
+    Fleet fleet;
+    startFive(fleet);
+    Traffic traffic(fleet);
+    CHECK(waitFor([&] { return fleet.runs("cat-1", "/x") > 100; }));
+    fleet.addServer({ "cat-6", "catalogue", 6, 10 });
+    fleet.controlServer("cat-6", "cold_ms=60000\ncold_factor=1500");
+    fleet.publishSheet(sheetOf(fleet, 2, COLD_START_MS));
+    CHECK(waitFor([&] { return fleet.runs("cat-6", "/x") > 10; }, COLD_START_MS / 2));
+    const auto ejected = [&] { return hasStanding(fleet, "a", "cat-6", "ejected") || hasStanding(fleet, "b", "cat-6", "ejected"); };
+    CHECK_FALSE(waitFor(ejected, 3000));
+    CHECK(servingCount(fleet) == 5);
+}
--- a/tests/reducer_test.cpp
+++ b/tests/reducer_test.cpp
@@ -1,9 +1,12 @@
 // The reducer driven event by event through the public headers alone.
 #include "cornelwind/reducer.h"
+#include "cornelwind/selector.h"
 #include "peer.pb.h"
 
 #include <catch2/catch.hpp>
 
+#include <algorithm>
+
 #include <deque>
 #include <string>
 #include <vector>
@@ -236,3 +239,38 @@
     CHECK(driver.refusals[0].outcome == Outcome::Unknown);
     CHECK(driver.cancelled == 0);
 }
+
+TEST_CASE("Each server's slots are shared by as many instances as it has slots")
+{
+    struct Row {
+        std::uint32_t servers;
+        std::uint32_t slots;
+        std::uint32_t instances;
+    };
+    for (const Row& row : { Row { 15, 4, 15 }, Row { 14, 2, 14 }, Row { 6, 6, 3 }, Row { 10, 4, 15 }, Row { 8, 4, 15 }, Row { 1, 4, 2 }, Row { 3, 2, 1 } }) {
+        INFO(row.servers << " servers of " << row.slots << " slots, " << row.instances << " instances");
+        std::vector<std::uint32_t> sharers(row.servers);
+        std::vector<std::uint32_t> held(row.servers);
+        std::uint32_t least = row.servers * row.slots;
+        std::uint32_t most = 0;
+        for (std::uint32_t rank = 0; rank < row.instances; ++rank) {
+            std::vector<Candidate> candidates;
+            for (std::uint32_t i = 0; i < row.servers; ++i)
+                candidates.push_back({ ServerId { i + 1 }, 0, 0, row.slots });
+            shareSlots(candidates, rank, row.instances);
+            std::uint32_t own = 0;
+            for (std::uint32_t i = 0; i < row.servers; ++i) {
+                sharers[i] += candidates[i].ownSlots > 0;
+                held[i] += candidates[i].ownSlots;
+                own += candidates[i].ownSlots;
+            }
+            least = std::min(least, own);
+            most = std::max(most, own);
+        }
+        CHECK(most - least <= 1);
+        for (std::uint32_t i = 0; i < row.servers; ++i) {
+            CHECK(sharers[i] == std::min(row.slots, row.instances));
+            CHECK(held[i] == row.slots);
+        }
+    }
+}
