--- a/include/cornelwind/selector.h
+++ b/include/cornelwind/selector.h
@@ -41,8 +41,8 @@
 /// Divides the slots of a service evenly over the live entry instances.
 ///
 /// All slots stand in an order that depends only on the backend servers; the
-/// entry instance with rank `r` of `n` prefers every `n`-th slot from `r` on,
-/// shifted so that the slots of one server fall to different instances.
+/// entry instance with rank `r` of `n` prefers every `n`-th slot from `r` on.
+/// The slots of one server fall to as many instances as there can be.
 /// Instances that agree on `n` prefer disjoint slots. Preferences bind nobody,
 /// so a disagreement costs collisions, never capacity.
 ///
--- a/src/decision/selector.cpp
+++ b/src/decision/selector.cpp
@@ -100,17 +100,18 @@
         mostSlots = std::max(mostSlots, candidate.slots);
     }
     // Slot by slot rather than server by server, so that an instance's slots lie on different servers.
-    // Where the rounds would give a server to the same instances again, they are shifted by one.
+    // Where the rounds would give a server to the same instances again, they begin one server later.
     const auto servers = static_cast<std::uint32_t>(std::count_if(candidates.begin(), candidates.end(), [](const Candidate& candidate) { return candidate.slots > 0; }));
     const std::uint32_t period = instances / std::gcd(servers, instances);
     std::uint64_t position = 0;
     for (std::uint32_t slot = 0; slot < mostSlots; ++slot) {
-        const std::uint32_t shift = slot / period;
-        for (const std::size_t index : order) {
-            if (candidates[index].slots <= slot)
+        const std::size_t shift = slot / period;
+        for (std::size_t i = 0; i < order.size(); ++i) {
+            Candidate& candidate = candidates[order[(i + shift) % order.size()]];
+            if (candidate.slots <= slot)
                 continue;
-            if ((position++ + shift) % instances == rank)
-                ++candidates[index].ownSlots;
+            if (position++ % instances == rank)
+                ++candidate.ownSlots;
         }
     }
 }
