--- a/include/cornelwind/detector.h
+++ b/include/cornelwind/detector.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "cornelwind/latency_histogram.h"
 #include "cornelwind/sequential_test.h"
 #include "cornelwind/sheet.h"
 #include "cornelwind/types.h"
@@ -181,23 +182,9 @@
         BadCounts expected {};
     };
 
-    /// Histogram of answer times with decaying counts.
-    class Latencies {
-    public:
-        void add(Duration latency);
-        void decay();
-        Duration median() const;
-
-    private:
-        static constexpr std::size_t BUCKETS = 128;
-        static std::size_t bucketOf(Duration latency);
-        std::array<double, BUCKETS> m_counts {};
-        double m_total = 0;
-    };
-
     struct ServiceTrack {
         std::vector<ServerId> servers;
-        Latencies latencies;
+        LatencyHistogram latencies;
         Duration median {};
         Weighting weighting = Weighting::Balanced;
     };
--- a/src/decision/detector.cpp
+++ b/src/decision/detector.cpp
@@ -9,7 +9,6 @@
     // The windows for expectations span about 30 s and 3 s.
     constexpr double LONG_DECAY = 0.992;
     constexpr double SHORT_DECAY = 0.92;
-    constexpr double LATENCY_DECAY = 0.9;
     // About 8 s: the source of evidence has to be known while the evidence counts.
     constexpr double SOURCE_DECAY = 0.97;
     // Assumed outcomes, so that a few samples do not make an expectation.
@@ -27,7 +26,6 @@
     constexpr double GAIN_SHARE = 0.55;
     constexpr Duration MIN_SLOW_LIMIT = std::chrono::milliseconds(10);
     constexpr Duration DEFAULT_SLOW_LIMIT = std::chrono::milliseconds(1000);
-    constexpr double MIN_LATENCY_SAMPLES = 20;
     // A share of slow answers below one in this many is usual.
     constexpr std::uint32_t SLOW_NEWS_DIVISOR = 8;
     // Rounds for which a row without news may be held back from the peers.
@@ -38,7 +36,6 @@
     // Bad outcomes beyond expectation from which one source can be odd.
     constexpr double MIN_ODD_EXCESS = 2.5;
     constexpr Duration SOURCE_MEMORY = std::chrono::minutes(10);
-    constexpr double BUCKETS_PER_OCTAVE = 5;
 
     // Mean samples to a false ejection of one server, by weighting.
     constexpr double SAMPLES_DETECTION_TIME = 3e5;
@@ -133,38 +130,6 @@
     return score;
 }
 
-std::size_t Detector::Latencies::bucketOf(Duration latency)
-{
-    const double micros = std::max<double>(1, static_cast<double>(latency.count()));
-    return std::min(static_cast<std::size_t>(std::log2(micros) * BUCKETS_PER_OCTAVE), BUCKETS - 1);
-}
-
-void Detector::Latencies::add(Duration latency)
-{
-    ++m_counts[bucketOf(latency)];
-    ++m_total;
-}
-
-void Detector::Latencies::decay()
-{
-    for (double& count : m_counts)
-        count *= LATENCY_DECAY;
-    m_total *= LATENCY_DECAY;
-}
-
-Duration Detector::Latencies::median() const
-{
-    if (m_total < MIN_LATENCY_SAMPLES)
-        return {};
-    double sum = 0;
-    for (std::size_t i = 0; i < BUCKETS; ++i) {
-        sum += m_counts[i];
-        if (sum * 2 >= m_total)
-            return Duration { static_cast<std::int64_t>(std::exp2((static_cast<double>(i) + 0.5) / BUCKETS_PER_OCTAVE)) };
-    }
-    return {};
-}
-
 Detector::Detector() = default;
 
 void Detector::adopt(const Sheet& sheet)
