--- a/src/decision/detector.cpp
+++ b/src/decision/detector.cpp
@@ -9,8 +9,8 @@
     // The windows for expectations span about 30 s and 3 s.
     constexpr double LONG_DECAY = 0.992;
     constexpr double SHORT_DECAY = 0.92;
-    // About 8 s: the source of evidence has to be known while the evidence counts.
-    constexpr double SOURCE_DECAY = 0.97;
+    // About 6 s: the source of evidence has to be known while the evidence counts.
+    constexpr double SOURCE_DECAY = 0.96;
     // Assumed outcomes, so that a few samples do not make an expectation.
     constexpr double PRIOR_SAMPLES = 50;
     constexpr double PRIOR_SAMPLES_NOW = 4;
