--- a/benchmark/load.cpp
+++ b/benchmark/load.cpp
@@ -68,7 +68,7 @@
             Instance& instance = m_instances[i];
             instance.pool = std::make_unique<ServerPool>(strategy.make());
             instance.pool->adopt(m_sheet, Time {});
-            instance.pool->setInstances(i, INSTANCES);
+            instance.pool->setPosition({ i, INSTANCES, 0, 1 });
         }
     }
 
--- a/include/cornelwind/decision.h
+++ b/include/cornelwind/decision.h
@@ -26,8 +26,13 @@
     SelfDistrusted,
     Draining,
     HandedOver,
+    PlatformChanged,
+    ServerSuspected,
+    ServerCleared,
 };
 
+inline constexpr std::size_t DECISION_KINDS = 17;
+
 /// @return the name used in logs, metrics and explanations
 const char* toString(DecisionKind);
 
--- a/include/cornelwind/effect.h
+++ b/include/cornelwind/effect.h
@@ -39,6 +39,8 @@
     std::uint16_t shedStatus;
     std::string shedHeader;
     std::string drainHeader;
+    /// Start of the server process where it is published.
+    std::uint64_t incarnation = 0;
 };
 
 /// Abandon a send and close its connection, then report TryFinished.
@@ -104,6 +106,10 @@
     Millis listRefresh;
 };
 
+/// Peers know later published values: ask the platform at once, whatever call is waiting.
+struct RefreshPublished {
+};
+
 /// A decision was made; log and count it.
 struct Report {
     Decision decision;
@@ -119,7 +125,7 @@
 };
 
 using Effect = std::variant<ReadBody, SendTry, CancelTry, ForwardToOwner, RelayAnswer, Refuse, ReleaseRequest, GiveKeys, SendPeer, SendProbe,
-    WatchPlatform, Report, SetReady, Stopped>;
+    WatchPlatform, RefreshPublished, Report, SetReady, Stopped>;
 using EffectList = std::vector<Effect>;
 
 } // namespace cornelwind
--- a/include/cornelwind/event.h
+++ b/include/cornelwind/event.h
@@ -2,6 +2,7 @@
 
 #include "cornelwind/answer.h"
 #include "cornelwind/error.h"
+#include "cornelwind/published_server.h"
 #include "cornelwind/types.h"
 
 #include <cstdint>
@@ -28,6 +29,10 @@
     std::optional<Millis> remaining;
     /// Whether another entry instance passed it on.
     bool forwarded = false;
+    /// Value of the Host header; empty if it has none.
+    std::string_view host = {};
+    /// Name under which the caller and the logs know the request; may be empty.
+    std::string_view label = {};
 };
 
 /// The whole body of a request has arrived.
@@ -80,6 +85,8 @@
     AnswerPtr answer;
     /// The backend server said that it is leaving.
     bool leaving = false;
+    /// Another backend server answers at the address.
+    bool misdirected = false;
 };
 
 /// The owner of a key replied to a forwarded request.
@@ -121,6 +128,23 @@
 struct PlatformReached {
 };
 
+/// The platform does not answer this entry instance.
+struct PlatformLost {
+};
+
+/// Backend servers whose published entries changed.
+struct ServersPublished {
+    std::vector<ServerChange> changes;
+    StoreRevision revision;
+    /// Whether `changes` is the whole list: servers that it does not name are gone.
+    bool complete = false;
+};
+
+/// The settings were read again.
+struct SettingsChanged {
+    std::vector<Endpoint> seeds;
+};
+
 /// A health probe ended.
 struct ProbeFinished {
     ServerId server;
@@ -138,7 +162,7 @@
 };
 
 using EventBody = std::variant<HeadReceived, BodyReceived, ReceiveFailed, CallerGone, KeysWanted, TryFinished, OwnerReplied,
-    PeerReceived, SheetFetched, InstancesListed, ServersListed, PlatformReached, ProbeFinished, StopRequested, Tick>;
+    PeerReceived, SheetFetched, InstancesListed, ServersListed, ServersPublished, PlatformReached, PlatformLost, SettingsChanged, ProbeFinished, StopRequested, Tick>;
 
 /// Something that happened outside the reducer.
 struct Event {
--- a/include/cornelwind/reducer.h
+++ b/include/cornelwind/reducer.h
@@ -6,6 +6,7 @@
 #include "cornelwind/event.h"
 #include "cornelwind/key.h"
 #include "cornelwind/settings.h"
+#include "cornelwind/sheet.h"
 #include "cornelwind/types.h"
 
 #include <cstdint>
@@ -102,6 +103,8 @@
     Builder& secret(const KeySecret& secret);
     /// Time of the first event.
     Builder& start(Time start);
+    /// Reads the form in which sheets are published; TOML by default.
+    Builder& sheetReader(SheetReader reader);
 
     Reducer build();
 
@@ -110,6 +113,7 @@
     Incarnation m_incarnation { 1 };
     KeySecret m_secret {};
     Time m_start;
+    SheetReader m_reader = readSheet;
 };
 
 } // namespace cornelwind
--- a/include/cornelwind/router.h
+++ b/include/cornelwind/router.h
@@ -9,7 +9,7 @@
 
 namespace cornelwind {
 
-/// Finds the rule of a request. Cost: one hash look-up per path segment; no allocation.
+/// Finds the rule of a request. Cost: up to four hash look-ups per path segment; no allocation.
 class Router {
 public:
     Router() = default;
@@ -18,11 +18,13 @@
     explicit Router(const Sheet& sheet);
 
     /// @param target the request target; a query is ignored
+    /// @param host value of the Host header; its port and case are ignored
     /// @return index of the rule with the longest matching prefix, or nothing
-    std::optional<std::uint32_t> match(std::string_view method, std::string_view target) const;
+    std::optional<std::uint32_t> match(std::string_view method, std::string_view target, std::string_view host = {}) const;
 
 private:
     struct RouteKey {
+        std::string_view host;
         std::string_view method;
         std::string_view path;
 
@@ -32,7 +34,15 @@
         std::size_t operator()(const RouteKey&) const noexcept;
     };
 
-    std::unordered_map<RouteKey, std::uint32_t, RouteHash> m_rules;
+    struct Route {
+        std::uint32_t rule = 0;
+        /// The prefix ends with a slash, which the target must contain too.
+        bool directory = false;
+    };
+
+    const Route* find(const RouteKey& key) const;
+
+    std::unordered_map<RouteKey, Route, RouteHash> m_rules;
 };
 
 } // namespace cornelwind
--- a/include/cornelwind/selector.h
+++ b/include/cornelwind/selector.h
@@ -21,6 +21,21 @@
     std::uint32_t slots = 1;
 };
 
+/// What the expected cost of sending a request to a backend server depends on.
+struct PlacementInput {
+    /// Probability that the server is sick.
+    double risk = 0;
+    bool sameZone = true;
+    /// Requests of this entry instance that it runs now.
+    std::uint32_t inFlight = 0;
+    std::uint32_t ownSlots = 0;
+    std::uint32_t slots = 1;
+};
+
+/// @param random uniformly distributed bits, to tell equal servers apart
+/// @return expected loss in parts of what an answer in time is worth
+double expectedCost(const PlacementInput& input, std::uint64_t random);
+
 /// Chooses among the candidates. Cost: linear in their number; no allocation.
 class Selector {
 public:
--- a/include/cornelwind/server_pool.h
+++ b/include/cornelwind/server_pool.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "cornelwind/belief.h"
 #include "cornelwind/selector.h"
 #include "cornelwind/sheet.h"
 #include "cornelwind/types.h"
@@ -59,6 +60,18 @@
     bool trialAllowed = false;
     /// Whether it may take a slot that is reserved for another entry instance.
     bool borrowAllowed = true;
+    /// Highest probability of a sick server that the request is sent to, above that of the best one.
+    double acceptableRisk = 1;
+};
+
+/// Position of this entry instance among the live ones.
+struct FleetPosition {
+    std::uint32_t rank = 0;
+    std::uint32_t instances = 1;
+    std::uint32_t zoneRank = 0;
+    std::uint32_t zoneInstances = 1;
+
+    friend bool operator==(const FleetPosition&, const FleetPosition&) = default;
 };
 
 /// The backend servers of the sheet in force, by service.
@@ -66,13 +79,14 @@
 /// Memory: one entry for each server of the sheet and for each removed server with requests in flight.
 class ServerPool {
 public:
-    explicit ServerPool(std::unique_ptr<Selector> selector);
+    /// @param zone of this entry instance
+    explicit ServerPool(std::unique_ptr<Selector> selector, ZoneName zone = {});
 
     /// Adopts the servers of a sheet. Servers kept by name keep their state; others drain.
     void adopt(const Sheet& sheet, Time now);
 
     /// Sets the shares of slots and connections. See `shareSlots`.
-    void setInstances(std::uint32_t rank, std::uint32_t instances);
+    void setPosition(const FleetPosition& position);
 
     /// Chooses a server that has room. No allocation.
     ///
@@ -82,6 +96,10 @@
     /// Divides the slots of the servers that serve now. Call it after standings changed.
     void reshare();
 
+    /// What is believed of the servers; used where the sheet places requests by expected cost.
+    BeliefTable& beliefs() { return m_beliefs; }
+    const BeliefTable& beliefs() const { return m_beliefs; }
+
     /// @return whether any server of the service takes work at all, busy or not
     bool hasUsable(std::uint32_t service) const;
 
@@ -97,16 +115,22 @@
     std::size_t size() const { return m_servers.size(); }
 
 private:
+    Server* pickBySlots(std::uint32_t service, const PickContext& context);
+    Server* pickByCost(std::uint32_t service, const PickContext& context);
+    void reshareInZone(std::vector<Server*>& members);
+    void reshareInFleet(std::vector<Server*>& members);
     bool hasOwnSlot(std::uint32_t service) const;
     bool accepts(const Server& server, const PickContext& context) const;
     std::uint32_t limit(const Server& server, Time now) const;
 
     std::unordered_map<ServerId, Server> m_servers;
     std::vector<std::vector<Server*>> m_services;
+    std::vector<Placement> m_placements;
     std::vector<Candidate> m_candidates;
     std::unique_ptr<Selector> m_selector;
-    std::uint32_t m_rank = 0;
-    std::uint32_t m_instances = 1;
+    ZoneName m_zone;
+    BeliefTable m_beliefs;
+    FleetPosition m_position;
 };
 
 } // namespace cornelwind
--- a/include/cornelwind/settings.h
+++ b/include/cornelwind/settings.h
@@ -17,6 +17,14 @@
     Endpoint via;
 };
 
+/// How the platform publishes the sheet and the backend servers.
+enum class PlatformForm : std::uint8_t {
+    /// One sheet that lists the backend servers, and a list of instances.
+    Sheet,
+    /// A store of keys with a history, where backend servers register themselves.
+    Store,
+};
+
 /// Settings of one entry instance.
 struct Settings {
     InstanceName name;
@@ -27,6 +35,11 @@
     /// Address under which callers and peers are listed; defaults to `peers`.
     std::optional<Endpoint> advertised;
     std::optional<Endpoint> platform;
+    PlatformForm platformForm = PlatformForm::Sheet;
+    /// Limits of the platform as it words them; its adapter reads them.
+    std::vector<std::string> platformLimits;
+    /// Where the balancer asks whether this entry instance is ready; nothing where it asks the callers' listener.
+    std::optional<Endpoint> readiness;
     std::optional<Endpoint> traceCollector;
     std::vector<PeerRoute> routes;
     /// Peer listeners to ask where the platform does not answer.
@@ -35,6 +48,12 @@
     ByteCount maxHead { 16 * 1024 };
     Millis receiveTime { 5000 };
     Millis stopTime { 30000 };
+    /// Time in which the balancer notices that this entry instance is not ready.
+    Millis stopNotice { 500 };
+    /// Retries that the whole fleet may add to the share of each service, in a short time.
+    std::uint32_t fleetRetryAllowance = 0;
+    /// Retries of a service allowed where the sheet does not say, in percent of its requests.
+    std::uint32_t retryPercent = 10;
     Millis keyLifetime { 900000 };
     std::uint32_t maxKeys = 20000;
     ByteCount maxStoredAnswers { 16 * 1024 * 1024 };
--- a/include/cornelwind/types.h
+++ b/include/cornelwind/types.h
@@ -31,6 +31,8 @@
 /// Hash of method, target and body of a request.
 using Fingerprint = Strong<struct FingerprintTag, std::uint64_t>;
 
+/// Position in the platform's history of published values.
+using StoreRevision = Strong<struct StoreRevisionTag, std::uint64_t>;
 using SheetVersion = Strong<struct SheetVersionTag, std::uint64_t>;
 using SheetHash = Strong<struct SheetHashTag, std::uint64_t>;
 /// Concurrent requests that a backend server runs.
--- a/src/config/settings.cpp
+++ b/src/config/settings.cpp
@@ -15,6 +15,8 @@
         { "debug", "debug" }, { "info", "info" }, { "warn", "warn" }, { "error", "error" }
     };
 
+    constexpr Choice<PlatformForm> platformForms[] = { { "sheet", PlatformForm::Sheet }, { "store", PlatformForm::Store } };
+
     class SettingsReader {
     public:
         explicit SettingsReader(Reasons& reasons)
@@ -62,10 +64,16 @@
             reader.endpoint("peers", m_settings.peers, true);
             reader.endpoint("admin", m_settings.admin, true);
             reader.endpoint("advertised", m_settings.advertised);
+            reader.endpoint("readiness", m_settings.readiness);
             reader.endpoints("seeds", m_settings.seeds);
         }
 
-        void readPlatform(TableReader& reader) { reader.endpoint("address", m_settings.platform); }
+        void readPlatform(TableReader& reader)
+        {
+            reader.endpoint("address", m_settings.platform);
+            reader.choice("form", platformForms, m_settings.platformForm);
+            reader.texts("limits", m_settings.platformLimits);
+        }
 
         void readTrace(TableReader& reader) { reader.endpoint("collector", m_settings.traceCollector); }
 
@@ -75,6 +83,9 @@
             reader.strong("head_bytes", m_settings.maxHead, 256, MAX_HEAD_BYTES);
             reader.millis("receive_ms", m_settings.receiveTime, 1, MAX_MILLIS);
             reader.millis("stop_ms", m_settings.stopTime, 1, MAX_MILLIS);
+            reader.millis("stop_notice_ms", m_settings.stopNotice, 1, MAX_MILLIS);
+            reader.number("retry_allowance", m_settings.fleetRetryAllowance, 0, MAX_CONNECTIONS);
+            reader.number("retry_percent", m_settings.retryPercent, 0, 100);
             reader.millis("key_lifetime_ms", m_settings.keyLifetime, 1, MAX_MILLIS);
             reader.number("keys", m_settings.maxKeys, 1, MAX_KEYS);
             reader.strong("stored_answer_bytes", m_settings.maxStoredAnswers, 0, MAX_STORED_BYTES);
--- a/src/config/sheet.cpp
+++ b/src/config/sheet.cpp
@@ -35,9 +35,9 @@
         { "fresh", ConnectionUse::Fresh },
     };
 
-    class SheetReader {
+    class TomlSheet {
     public:
-        explicit SheetReader(Reasons& reasons)
+        explicit TomlSheet(Reasons& reasons)
             : m_reasons(reasons)
         {
         }
@@ -169,7 +169,7 @@
     const auto root = parseToml(text, reasons);
     if (!root)
         return std::nullopt;
-    SheetReader reader(reasons);
+    TomlSheet reader(reasons);
     reader.read(*root);
     if (reasons.size() != before)
         return std::nullopt;
--- a/src/config/table_reader.cpp
+++ b/src/config/table_reader.cpp
@@ -66,6 +66,19 @@
     }
 }
 
+void TableReader::texts(const char* key, std::vector<std::string>& out)
+{
+    const toml::array* entries = array(key);
+    if (!entries)
+        return;
+    for (const toml::node& entry : *entries) {
+        if (const auto* spelling = entry.as_string())
+            out.push_back(spelling->get());
+        else
+            faultAt(ErrorKind::WrongType, entry, key);
+    }
+}
+
 void TableReader::millis(const char* key, Millis& out, std::uint64_t low, std::uint64_t high)
 {
     if (auto value = integer(key, low, high, false))
--- a/src/config/table_reader.h
+++ b/src/config/table_reader.h
@@ -40,6 +40,7 @@
     void endpoint(const char* key, Endpoint& out, bool required = false);
     void endpoint(const char* key, std::optional<Endpoint>& out);
     void endpoints(const char* key, std::vector<Endpoint>& out);
+    void texts(const char* key, std::vector<std::string>& out);
 
     /// Reads a whole number from `low` to `high`.
     template <typename Number>
--- /dev/null
+++ b/src/decision/catalogue.cpp
@@ -0,0 +1,171 @@
+#include "catalogue.h"
+
+#include "peer.pb.h"
+
+#include <algorithm>
+#include <set>
+
+namespace cornelwind {
+namespace {
+
+    PublishedServer readEntry(const peer::ServerEntry& entry)
+    {
+        PublishedServer server;
+        server.name = ServerName { entry.name() };
+        server.service = ServiceName { entry.service() };
+        server.address = parseEndpoint(entry.address()).value_or(Endpoint {});
+        server.zone = ZoneName { entry.zone() };
+        server.slots = Slots { std::max<std::uint32_t>(entry.slots(), 1) };
+        server.leaving = entry.leaving();
+        server.warmup = Millis { entry.warmup_ms() };
+        server.incarnation = entry.incarnation();
+        return server;
+    }
+
+} // namespace
+
+bool Catalogue::onPublished(const ServersPublished& event, Context& context)
+{
+    m_known = true;
+    m_revision = std::max(m_revision, event.revision);
+    bool changed = false;
+    std::set<ServerName> named;
+    for (const ServerChange& change : event.changes) {
+        named.insert(change.name);
+        changed = (change.server ? put(*change.server, context) : drop(change.name, context)) || changed;
+    }
+    if (!event.complete)
+        return changed;
+    std::vector<ServerName> missing;
+    for (const auto& [name, entry] : m_entries) {
+        if (!named.contains(name))
+            missing.push_back(name);
+    }
+    for (const ServerName& name : missing)
+        changed = drop(name, context) || changed;
+    return changed;
+}
+
+bool Catalogue::put(const PublishedServer& server, Context& context)
+{
+    const auto [position, isNew] = m_entries.try_emplace(server.name, Entry { server, {} });
+    Entry& entry = position->second;
+    if (!isNew && entry.server == server && !entry.goneAt)
+        return false;
+    if (server.leaving && (isNew || !entry.server.leaving))
+        context.report(DecisionKind::Leaving, server.name.value(), "its entry says that it is leaving", "revision " + std::to_string(m_revision.value()));
+    entry = { server, {} };
+    return true;
+}
+
+bool Catalogue::drop(const ServerName& name, Context& context)
+{
+    const auto found = m_entries.find(name);
+    if (found == m_entries.end())
+        return false;
+    Entry& entry = found->second;
+    if (unsettled(context.now()) && !entry.server.leaving) {
+        if (!entry.goneAt)
+            entry.goneAt = std::max(context.now(), m_reachedAt) + LAPSE_GRACE;
+        return false;
+    }
+    context.report(DecisionKind::Leaving, name.value(), "its entry was removed", "revision " + std::to_string(m_revision.value()));
+    m_entries.erase(found);
+    return true;
+}
+
+bool Catalogue::unsettled(Time now) const
+{
+    return !m_reachable || (m_wasLost && now - m_reachedAt < LAPSE_GRACE);
+}
+
+void Catalogue::onReached(Context& context)
+{
+    if (m_reachable)
+        return;
+    m_reachable = true;
+    m_wasLost = true;
+    m_reachedAt = context.now();
+    context.report(DecisionKind::PlatformChanged, "platform", "it answers again", "after " + std::to_string(std::chrono::duration_cast<Millis>(context.now() - m_lostAt).count()) + " ms");
+}
+
+void Catalogue::onLost(Context& context)
+{
+    if (!m_reachable)
+        return;
+    m_reachable = false;
+    m_lostAt = context.now();
+    context.report(DecisionKind::PlatformChanged, "platform", "it does not answer; the last known servers stay in use", "revision " + std::to_string(m_revision.value()));
+}
+
+bool Catalogue::onTick(Context& context)
+{
+    bool changed = false;
+    for (auto entry = m_entries.begin(); entry != m_entries.end();) {
+        // While the platform is away nobody can renew an entry.
+        const bool gone = m_reachable && entry->second.goneAt && context.now() >= std::max(*entry->second.goneAt, m_reachedAt + LAPSE_GRACE);
+        if (!gone) {
+            ++entry;
+            continue;
+        }
+        context.report(DecisionKind::Leaving, entry->first.value(), "its entry lapsed and is not back");
+        entry = m_entries.erase(entry);
+        changed = true;
+    }
+    return changed;
+}
+
+bool Catalogue::onPeerList(const peer::ServersReply& reply, Context& context)
+{
+    if (StoreRevision { reply.revision() } <= m_revision)
+        return false;
+    ServersPublished event;
+    event.revision = StoreRevision { reply.revision() };
+    event.complete = true;
+    for (const peer::ServerEntry& row : reply.servers())
+        event.changes.push_back({ ServerName { row.name() }, readEntry(row) });
+    return onPublished(event, context);
+}
+
+void Catalogue::write(peer::ServersReply& reply) const
+{
+    reply.set_revision(m_revision.value());
+    for (const auto& [name, entry] : m_entries) {
+        peer::ServerEntry& row = *reply.add_servers();
+        row.set_name(name.value());
+        row.set_service(entry.server.service.value());
+        row.set_address(toString(entry.server.address));
+        row.set_zone(entry.server.zone.value());
+        row.set_slots(entry.server.slots.value());
+        row.set_leaving(entry.server.leaving);
+        row.set_warmup_ms(static_cast<std::uint32_t>(entry.server.warmup.count()));
+        row.set_incarnation(entry.server.incarnation);
+    }
+}
+
+Sheet Catalogue::fill(const Sheet& sheet) const
+{
+    Sheet filled = sheet;
+    for (SheetService& service : filled.services)
+        service.servers.clear();
+    for (const auto& [name, entry] : m_entries) {
+        if (entry.server.leaving)
+            continue;
+        for (SheetService& service : filled.services) {
+            if (service.name != entry.server.service)
+                continue;
+            service.servers.push_back({ name, entry.server.address, entry.server.zone, entry.server.slots, service.connections,
+                entry.server.incarnation, entry.server.warmup });
+        }
+    }
+    // Without a hard ejection the floor is every slot.
+    for (SheetService& service : filled.services) {
+        std::uint32_t slots = 0;
+        for (const SheetServer& server : service.servers)
+            slots += server.slots.value();
+        service.floor = Slots { slots };
+    }
+    return filled;
+}
+
+} // namespace cornelwind
--- a/src/decision/decision.cpp
+++ b/src/decision/decision.cpp
@@ -7,7 +7,8 @@
 
     constexpr std::array kindNames {
         "ejected", "ejection-withheld", "returned", "path-avoided", "path-restored", "leaving", "quarantined",
-        "refused", "sheet-adopted", "sheet-refused", "member-changed", "self-distrusted", "draining", "handed-over"
+        "refused", "sheet-adopted", "sheet-refused", "member-changed", "self-distrusted", "draining", "handed-over",
+        "platform-changed", "server-suspected", "server-cleared"
     };
 
 } // namespace
--- a/src/decision/drain.cpp
+++ b/src/decision/drain.cpp
@@ -8,17 +8,16 @@
 namespace cornelwind {
 namespace {
 
-    // Time in which the balancer notices that this entry instance is not ready.
-    constexpr Duration NOTICE_TIME = std::chrono::milliseconds(500);
     constexpr Duration STEP_INTERVAL = std::chrono::milliseconds(200);
     constexpr Duration PROMISE_TIME = std::chrono::seconds(3);
     constexpr std::uint32_t MAX_OFFERS = 10;
 
 } // namespace
 
-Drain::Drain(Parts parts, Duration timeLimit)
+Drain::Drain(Parts parts, Duration timeLimit, Duration noticeTime)
     : m_parts(parts)
     , m_timeLimit(timeLimit)
+    , m_noticeTime(noticeTime)
 {
 }
 
@@ -57,8 +56,12 @@
 
 void Drain::quiesce(Context& context)
 {
-    if (context.now() - m_requestedAt < NOTICE_TIME)
+    if (context.now() - m_requestedAt < m_noticeTime)
         return;
+    if (!m_parts.keys.used() && context.now() >= m_expectsUntil) {
+        m_phase = Phase::Finish;
+        return;
+    }
     m_parts.flow.pauseKeyed();
     if (!m_parts.flow.keyedIdle() || context.now() < m_expectsUntil)
         return;
--- a/src/decision/drain.h
+++ b/src/decision/drain.h
@@ -32,7 +32,8 @@
         RequestFlow& flow;
     };
 
-    Drain(Parts parts, Duration timeLimit);
+    /// @param noticeTime time in which the balancer notices that this entry instance is not ready
+    Drain(Parts parts, Duration timeLimit, Duration noticeTime);
 
     void onStopRequested(Context& context);
     void onTick(Context& context);
@@ -68,6 +69,7 @@
 
     Parts m_parts;
     Duration m_timeLimit;
+    Duration m_noticeTime;
     Phase m_phase = Phase::None;
     Time m_requestedAt;
     Time m_nextStep;
--- a/src/decision/evidence_sink.h
+++ b/src/decision/evidence_sink.h
@@ -1,8 +1,10 @@
 #pragma once
 
+#include "cornelwind/belief.h"
 #include "cornelwind/types.h"
 
 #include <cstdint>
+#include <string>
 
 namespace cornelwind {
 
@@ -16,6 +18,8 @@
     None,
 };
 
+class Context;
+
 /// Receives what happens to sends, and tells what is usual.
 class EvidenceSink {
 public:
@@ -25,6 +29,10 @@
     /// @return median time of an answer, or zero while it is not known
     virtual Duration typicalTime(std::uint32_t service) const = 0;
     virtual void tryEnded(TryId id, Evidence evidence, Time now) = 0;
+    /// For services whose requests are placed by expected cost.
+    ///
+    /// @param request name of the request for the logs
+    virtual void observed(ServerId server, Observation observation, const std::string& request, Context& context) = 0;
 };
 
 } // namespace cornelwind
--- a/src/decision/gossip.cpp
+++ b/src/decision/gossip.cpp
@@ -193,6 +193,7 @@
     for (peer::Member& update : m_members.takeUpdates(UPDATES_PER_MESSAGE))
         *message.add_updates() = std::move(update);
     message.set_platform_age_ms(millisOf(platformAge(context.now())));
+    message.set_servers_revision(m_serversRevision.value());
     if (!m_sheets.current())
         return;
     message.mutable_sheet()->set_version(m_sheets.current()->version.value());
@@ -206,6 +207,10 @@
         m_members.merge(update, context);
     sender.platformAge = Millis { message.platform_age_ms() };
     sender.platformAgeAt = context.now();
+    if (const StoreRevision revision { message.servers_revision() }; revision > m_newestRevision) {
+        m_newestRevision = revision;
+        m_newestRevisionFrom = sender.name;
+    }
     const SheetVersion version { message.sheet().version() };
     if (!m_sheets.wants(version, SheetHash { message.sheet().hash() }, sender.name.value(), context))
         return;
@@ -268,7 +273,7 @@
 {
     if (!m_started)
         return false;
-    if (now - m_start >= JOIN_TIME)
+    if (m_identity.platformIsCurrent || now - m_start >= JOIN_TIME)
         return true;
     const auto& records = m_members.records();
     const bool known = m_members.listKnown();
--- a/src/decision/gossip.h
+++ b/src/decision/gossip.h
@@ -30,6 +30,8 @@
         Endpoint address;
         Incarnation incarnation;
         std::vector<Endpoint> seeds;
+        /// The platform answers with its latest values, so that a start need not ask the members first.
+        bool platformIsCurrent = false;
     };
 
     Gossip(Identity identity, MemberTable& members, SheetKeeper& sheets);
@@ -50,6 +52,13 @@
     /// Pings many members at once, because the sheet or the own state changed.
     void announce(Context& context);
 
+    /// Says what is known of the published servers from now on.
+    void setServersRevision(StoreRevision revision) { m_serversRevision = revision; }
+    /// @return the latest revision that a member told, and who
+    StoreRevision newestRevision() const { return m_newestRevision; }
+    const InstanceName& newestRevisionFrom() const { return m_newestRevisionFrom; }
+
+    void setSeeds(std::vector<Endpoint> seeds) { m_identity.seeds = std::move(seeds); }
     void setLeaving() { m_leaving = true; }
     bool leaving() const { return m_leaving; }
 
@@ -92,6 +101,9 @@
     Time m_nextRound;
     Time m_platformAt;
     Time m_sheetAskedAt;
+    StoreRevision m_serversRevision;
+    StoreRevision m_newestRevision;
+    InstanceName m_newestRevisionFrom;
     bool m_leaving = false;
     bool m_started = false;
 };
--- a/src/decision/health.cpp
+++ b/src/decision/health.cpp
@@ -65,7 +65,7 @@
         return;
     m_nextEvaluation = context.now() + EVIDENCE_INTERVAL;
     const FleetView view = fleetView();
-    m_parts.pool.setInstances(view.rank, view.live);
+    m_parts.pool.setPosition({ view.rank, view.live, m_parts.members.zoneRank(), m_parts.members.zoneLiveCount() + 1 });
     const Digest& digest = m_detector.evaluate(context.now());
     if (m_detector.distrustsSelf() != m_distrusted) {
         m_distrusted = !m_distrusted;
@@ -204,6 +204,53 @@
         m_detector.probed(event.server, !event.answered || !event.healthy);
 }
 
+void Health::observed(ServerId server, Observation observation, const std::string& request, Context& context)
+{
+    if (!m_parts.pool.beliefs().observe(server, observation, context.now()))
+        return;
+    reportBelief(server, observation, "request " + request, context);
+    if (observation != Observation::Unreachable)
+        tellOutcome(server, observation, context);
+}
+
+// Every entry instance should know at once: with few requests each, all would pay for the same lesson.
+void Health::tellOutcome(ServerId server, Observation observation, Context& context)
+{
+    auto message = std::make_shared<peer::Envelope>();
+    peer::OutcomeRow& row = *message->mutable_outcomes()->add_rows();
+    row.set_server(server.value());
+    row.set_observation(static_cast<std::uint32_t>(observation));
+    auto members = m_parts.members.live();
+    while (members.size() > MAX_EVIDENCE_PEERS)
+        members.erase(members.begin() + static_cast<std::ptrdiff_t>(context.random() % members.size()));
+    for (const MemberRecord* member : members)
+        m_parts.gossip.send(*member, std::make_shared<peer::Envelope>(*message), context);
+}
+
+void Health::onOutcomes(const peer::Outcomes& outcomes, const MemberRecord& sender, Context& context)
+{
+    for (const peer::OutcomeRow& row : outcomes.rows()) {
+        if (row.observation() > static_cast<std::uint32_t>(Observation::Slow))
+            continue;
+        const ServerId server { row.server() };
+        const auto observation = static_cast<Observation>(row.observation());
+        if (!m_parts.pool.find(server))
+            continue;
+        m_parts.pool.beliefs().hear(server, observation, context.now());
+        reportBelief(server, observation, "instance " + sender.name.value(), context);
+    }
+}
+
+void Health::reportBelief(ServerId id, Observation observation, const std::string& source, Context& context) const
+{
+    const Server* server = m_parts.pool.find(id);
+    if (!server)
+        return;
+    const auto percent = static_cast<int>(m_parts.pool.beliefs().sick(id, context.now()) * 100);
+    const DecisionKind kind = observation == Observation::Success ? DecisionKind::ServerCleared : DecisionKind::ServerSuspected;
+    context.report(kind, server->config.name.value(), std::string(toString(observation)) + ", " + source, "sick " + std::to_string(percent) + "%");
+}
+
 void Health::trySent(TryId id, ServerId server, Time now)
 {
     m_detector.trySent(id, server, now);
--- a/src/decision/health.h
+++ b/src/decision/health.h
@@ -17,6 +17,7 @@
 namespace peer {
     class Envelope;
     class Evidence;
+    class Outcomes;
 }
 
 /// Runs detection and ejection in step, and exchanges evidence, ejections, crashes and leaves with the peers.
@@ -36,6 +37,8 @@
     explicit Health(Parts parts);
 
     void adopt(SheetPtr sheet);
+    /// Outcomes that a peer saw.
+    void onOutcomes(const peer::Outcomes& outcomes, const MemberRecord& sender, Context& context);
     void onTick(Context& context);
     void onEvidence(const peer::Evidence& evidence, const MemberRecord& sender, Context& context);
     void onProbe(const ProbeFinished& event, Context& context);
@@ -46,6 +49,7 @@
 
     void trySent(TryId id, ServerId server, Time now) override;
     void tryEnded(TryId id, Evidence evidence, Time now) override;
+    void observed(ServerId server, Observation observation, const std::string& request, Context& context) override;
     Duration typicalTime(std::uint32_t service) const override { return m_detector.median(service); }
 
     Judgement judge(ServerId server) const { return m_detector.judge(server); }
@@ -57,6 +61,8 @@
     void probeQuietServers(Context& context);
     void recordCrash(Fingerprint fingerprint, Context& context);
     void reshareIfChanged();
+    void tellOutcome(ServerId server, Observation observation, Context& context);
+    void reportBelief(ServerId server, Observation observation, const std::string& source, Context& context) const;
 
     Parts m_parts;
     Detector m_detector;
--- a/src/decision/key_book.cpp
+++ b/src/decision/key_book.cpp
@@ -63,6 +63,7 @@
 std::string KeyBook::mint(Time now)
 {
     KeyHolding* own = find(m_own);
+    m_minted = true;
     return own && !m_handedOver ? own->mint.mint(now) : std::string {};
 }
 
--- a/src/decision/key_book.h
+++ b/src/decision/key_book.h
@@ -97,6 +97,8 @@
     /// Remembers who answers for an incarnation.
     void noteHeir(Incarnation incarnation, const InstanceName& heir, Time now);
 
+    /// @return whether any key was ever made or taken over here
+    bool used() const { return m_minted || m_holdings.size() > 1 || !m_arriving.empty(); }
     bool busy() const;
     std::size_t size() const;
     std::size_t holdings() const { return m_holdings.size(); }
@@ -124,6 +126,7 @@
     std::map<PartKey, std::shared_ptr<peer::Handover>> m_unacknowledged;
     InstanceName m_heir;
     bool m_handedOver = false;
+    bool m_minted = false;
 };
 
 } // namespace cornelwind
--- a/src/decision/member_table.cpp
+++ b/src/decision/member_table.cpp
@@ -249,6 +249,18 @@
         [this](const auto& row) { return isLive(row.second) && row.first < m_self; }));
 }
 
+std::uint32_t MemberTable::zoneRank() const
+{
+    return static_cast<std::uint32_t>(std::count_if(m_members.begin(), m_members.end(),
+        [this](const auto& row) { return isLive(row.second) && row.second.zone == m_zone && row.first < m_self; }));
+}
+
+std::uint32_t MemberTable::zoneLiveCount() const
+{
+    return static_cast<std::uint32_t>(std::count_if(m_members.begin(), m_members.end(),
+        [this](const auto& row) { return isLive(row.second) && row.second.zone == m_zone; }));
+}
+
 std::size_t MemberTable::listedCount() const
 {
     return 1 + std::count_if(m_members.begin(), m_members.end(), [](const auto& row) { return row.second.listed; });
--- a/src/decision/member_table.h
+++ b/src/decision/member_table.h
@@ -82,6 +82,9 @@
     std::size_t liveCount() const;
     /// @return position of this entry instance among itself and the live members
     std::uint32_t rank() const;
+    /// @return the same among those of the own availability zone
+    std::uint32_t zoneRank() const;
+    std::uint32_t zoneLiveCount() const;
     /// @return number of listed entry instances, and of those that are live, both with this one
     std::size_t listedCount() const;
     std::size_t listedLiveCount() const;
--- a/src/decision/reducer.cpp
+++ b/src/decision/reducer.cpp
@@ -1,5 +1,6 @@
 #include "cornelwind/reducer.h"
 
+#include "catalogue.h"
 #include "drain.h"
 #include "gossip.h"
 #include "health.h"
@@ -19,10 +20,13 @@
     // Those who do not watch read the instance list at a rate that the whole fleet shares: 100 calls a second.
     constexpr Millis MIN_LIST_REFRESH { 10000 };
     constexpr Millis LIST_REFRESH_PER_INSTANCE { 10 };
+    // A change that peers know reaches this instance by itself within this time.
+    constexpr Duration BEHIND_TIME = std::chrono::milliseconds(300);
+    constexpr Duration CATCH_UP_INTERVAL = std::chrono::milliseconds(300);
 
     Gossip::Identity makeIdentity(const Settings& settings, Incarnation incarnation)
     {
-        return { settings.name, settings.zone, settings.advertised.value_or(settings.peers), incarnation, settings.seeds };
+        return { settings.name, settings.zone, settings.advertised.value_or(settings.peers), incarnation, settings.seeds, settings.platformForm == PlatformForm::Store };
     }
 
     KeyBook::Limits makeKeyLimits(const Settings& settings)
@@ -35,17 +39,20 @@
 /// The modules of one entry instance. Only passes events on to them.
 class Reducer::State {
 public:
-    State(const Settings& settings, Incarnation incarnation, const KeySecret& secret, Time start)
+    State(const Settings& settings, Incarnation incarnation, const KeySecret& secret, Time start, SheetReader reader)
         : m_keys(KeyMint(settings.name, incarnation, secret, start), makeKeyLimits(settings))
-        , m_pool(makeSlotShareSelector())
+        , m_pool(makeSlotShareSelector(), settings.zone)
+        , m_sheets(std::move(reader))
         , m_members(settings.name, settings.zone, settings.routes)
         , m_gossip(makeIdentity(settings, incarnation), m_members, m_sheets)
         , m_health({ m_pool, m_quarantine, m_members, m_gossip })
         , m_flow({ m_pool, m_keys, m_quarantine, m_health, m_members,
               [this](ServerId server, Context& context) { m_health.onLeaving(server, context); },
               [this](Fingerprint fingerprint, Context& context) { m_health.onCrash(fingerprint, context); } })
-        , m_drain({ m_gossip, m_members, m_keys, m_flow }, settings.stopTime)
+        , m_drain({ m_gossip, m_members, m_keys, m_flow }, settings.stopTime, settings.stopNotice)
+        , m_serversApart(settings.platformForm == PlatformForm::Store)
     {
+        m_flow.setRetryAllowance(settings.fleetRetryAllowance);
     }
 
     void apply(const Event& event, EffectList& effects)
@@ -74,7 +81,23 @@
     void on(const ProbeFinished& event, Context& context) { m_health.onProbe(event, context); }
     void on(const ServersListed& event, Context& context) { m_health.onServersListed(event, context); }
     void on(const StopRequested&, Context& context) { m_drain.onStopRequested(context); }
-    void on(const PlatformReached&, Context& context) { m_gossip.platformAnswered(context.now()); }
+    void on(const PlatformReached&, Context& context) { platformAnswered(context); }
+    void on(const SettingsChanged& event, Context&) { m_gossip.setSeeds(event.seeds); }
+    void on(const PlatformLost&, Context& context) { m_catalogue.onLost(context); }
+
+    void on(const ServersPublished& event, Context& context)
+    {
+        platformAnswered(context);
+        if (m_catalogue.onPublished(event, context))
+            adoptServers(context);
+        m_gossip.setServersRevision(m_catalogue.revision());
+    }
+
+    void platformAnswered(Context& context)
+    {
+        m_gossip.platformAnswered(context.now());
+        m_catalogue.onReached(context);
+    }
 
     void on(const KeysWanted& event, Context& context)
     {
@@ -86,13 +109,13 @@
 
     void on(const SheetFetched& event, Context& context)
     {
-        m_gossip.platformAnswered(context.now());
+        platformAnswered(context);
         offerSheet(event.text, "the platform", context);
     }
 
     void on(const InstancesListed& event, Context& context)
     {
-        m_gossip.platformAnswered(context.now());
+        platformAnswered(context);
         m_members.onListed(event, context);
     }
 
@@ -104,6 +127,12 @@
         const peer::Envelope& message = *event.message;
         if (message.has_evidence())
             m_health.onEvidence(message.evidence(), *sender, context);
+        else if (message.has_outcomes())
+            m_health.onOutcomes(message.outcomes(), *sender, context);
+        else if (message.has_servers_request())
+            sendServers(*sender, context);
+        else if (message.has_servers_reply())
+            takeServers(message.servers_reply(), context);
         else if (message.has_sheet_request())
             sendSheet(*sender, context);
         else if (message.has_sheet_reply())
@@ -119,6 +148,9 @@
         m_health.onTick(context);
         m_drain.onTick(context);
         m_keys.expire(context.now());
+        m_flow.setFleetSize(static_cast<std::uint32_t>(1 + m_members.liveCount()));
+        if (m_serversApart)
+            followServers(context);
         updateWatch(context);
         updateReady(context);
     }
@@ -127,12 +159,73 @@
     {
         if (!m_sheets.offer(text, source, context))
             return;
-        m_pool.adopt(*m_sheets.current(), context.now());
-        m_flow.adopt(m_sheets.current());
-        m_health.adopt(m_sheets.current());
+        if (m_serversApart)
+            adoptServers(context);
+        else
+            adopt(m_sheets.current(), context);
         m_gossip.announce(context);
     }
 
+    void adopt(const SheetPtr& sheet, Context& context)
+    {
+        m_pool.adopt(*sheet, context.now());
+        m_flow.adopt(sheet);
+        m_health.adopt(sheet);
+    }
+
+    // Routes and servers are published apart; what is in force joins the latest of both.
+    void adoptServers(Context& context)
+    {
+        if (m_sheets.current() && m_catalogue.known())
+            adopt(std::make_shared<const Sheet>(m_catalogue.fill(*m_sheets.current())), context);
+    }
+
+    void followServers(Context& context)
+    {
+        if (m_catalogue.onTick(context))
+            adoptServers(context);
+        if (m_gossip.newestRevision() <= m_catalogue.revision()) {
+            m_behindSince.reset();
+            return;
+        }
+        if (!m_behindSince)
+            m_behindSince = context.now();
+        if (context.now() - *m_behindSince < BEHIND_TIME || context.now() < m_nextCatchUp)
+            return;
+        m_nextCatchUp = context.now() + CATCH_UP_INTERVAL;
+        catchUp(context);
+    }
+
+    // Peers know later values: the own call to the platform may have gone silent, or it turns this instance away.
+    void catchUp(Context& context)
+    {
+        if (m_gossip.newestRevision() != m_refreshedFor) {
+            m_refreshedFor = m_gossip.newestRevision();
+            context.emit(RefreshPublished {});
+            return;
+        }
+        MemberRecord* source = m_members.find(m_gossip.newestRevisionFrom());
+        if (!source)
+            return;
+        auto message = std::make_shared<peer::Envelope>();
+        message->mutable_servers_request();
+        m_gossip.send(*source, std::move(message), context);
+    }
+
+    void sendServers(const MemberRecord& to, Context& context)
+    {
+        auto message = std::make_shared<peer::Envelope>();
+        m_catalogue.write(*message->mutable_servers_reply());
+        m_gossip.send(to, std::move(message), context);
+    }
+
+    void takeServers(const peer::ServersReply& reply, Context& context)
+    {
+        if (m_catalogue.onPeerList(reply, context))
+            adoptServers(context);
+        m_gossip.setServersRevision(m_catalogue.revision());
+    }
+
     void sendSheet(const MemberRecord& to, Context& context)
     {
         if (!m_sheets.current())
@@ -158,6 +251,8 @@
     {
         if (m_ready || m_drain.stopping() || !m_sheets.current() || !m_gossip.joined(context.now()))
             return;
+        if (m_serversApart && !m_catalogue.known())
+            return;
         m_ready = true;
         m_flow.open();
         context.emit(SetReady { true });
@@ -167,13 +262,18 @@
     Quarantine m_quarantine;
     ServerPool m_pool;
     SheetKeeper m_sheets;
+    Catalogue m_catalogue;
     MemberTable m_members;
     Gossip m_gossip;
     Health m_health;
     RequestFlow m_flow;
     Drain m_drain;
     DecisionLog m_decisions;
+    std::optional<Time> m_behindSince;
+    Time m_nextCatchUp;
+    StoreRevision m_refreshedFor;
     Millis m_refresh {};
+    bool m_serversApart;
     bool m_watching = false;
     bool m_ready = false;
 };
@@ -264,9 +364,15 @@
     return *this;
 }
 
+Reducer::Builder& Reducer::Builder::sheetReader(SheetReader reader)
+{
+    m_reader = std::move(reader);
+    return *this;
+}
+
 Reducer Reducer::Builder::build()
 {
-    return Reducer(std::make_unique<State>(m_settings, m_incarnation, m_secret, m_start));
+    return Reducer(std::make_unique<State>(m_settings, m_incarnation, m_secret, m_start, m_reader));
 }
 
 } // namespace cornelwind
--- a/src/decision/request_flow.cpp
+++ b/src/decision/request_flow.cpp
@@ -1,6 +1,7 @@
 #include "request_flow.h"
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 namespace cornelwind {
@@ -22,10 +23,59 @@
         service->config = m_sheet->services[i];
         service->config.servers.clear();
         service->budget.setPercent(service->config.retryPercent);
+        setBurst(*service);
+        service->idempotentKnown = false;
+    }
+    for (const SheetRule& rule : m_sheet->rules) {
+        if (rule.kind == RequestKind::Idempotent)
+            serviceOf(*m_sheet, rule.service)->idempotentKnown = true;
     }
     std::erase_if(m_services, [](const auto& row) { return !row.second->index && row.second.use_count() == 1; });
 }
 
+// The allowance is one for the whole fleet; a part of it is kept back for instances that start anew.
+void RequestFlow::setBurst(Service& service) const
+{
+    constexpr double allowancePart = 0.7;
+    constexpr std::uint32_t minBurst = 2;
+    if (m_retryAllowance)
+        service.budget.setBurst(std::max(minBurst, static_cast<std::uint32_t>(allowancePart * m_retryAllowance / m_fleetSize)));
+}
+
+void RequestFlow::setFleetSize(std::uint32_t instances)
+{
+    // Members that a cut hides still use their part.
+    if (instances <= m_fleetSize)
+        return;
+    m_fleetSize = instances;
+    for (const auto& [name, service] : m_services)
+        setBurst(*service);
+}
+
+// Multiples of the golden ratio divide every stretch of requests by weight, not only a long one.
+std::uint32_t RequestFlow::chooseService(const SheetRule& rule, Context& context)
+{
+    constexpr double goldenRatio = 0.6180339887498949;
+    if (rule.split.empty())
+        return rule.service;
+    const auto [position, isNew] = m_splits.try_emplace(rule.name, 0);
+    if (isNew)
+        position->second = static_cast<double>(context.random() >> 11) / 9007199254740992.0;
+    double& point = position->second;
+    point += goldenRatio;
+    point -= std::floor(point);
+    std::uint32_t total = 0;
+    for (const TrafficShare& share : rule.split)
+        total += share.weight;
+    double rest = point * total;
+    for (const TrafficShare& share : rule.split) {
+        if (rest < share.weight)
+            return share.service;
+        rest -= share.weight;
+    }
+    return rule.split.back().service;
+}
+
 RequestFlow::ServicePtr RequestFlow::serviceOf(const Sheet& sheet, std::uint32_t index)
 {
     const SheetService& config = sheet.services[index];
@@ -44,14 +94,15 @@
     Request& request = m_requests[event.request];
     request.id = event.request;
     request.forwarded = event.forwarded;
+    request.label = event.label;
     if (!m_sheet || !m_open)
         return refuse(request, { ErrorKind::NoSheet, Outcome::NotRun, RETRY_AFTER }, context);
-    const auto rule = m_router.match(event.method, event.target);
+    const auto rule = m_router.match(event.method, event.target, event.host);
     if (!rule)
         return refuse(request, { ErrorKind::NoRoute, Outcome::NotRun, {} }, context);
     request.sheet = m_sheet;
     request.rule = &m_sheet->rules[*rule];
-    request.service = serviceOf(*m_sheet, request.rule->service);
+    request.service = serviceOf(*m_sheet, chooseService(*request.rule, context));
     request.runLimit = context.now() + request.rule->timeLimit;
     request.deadline = request.runLimit;
     if (event.remaining)
@@ -90,7 +141,7 @@
         return;
     request->fingerprint = event.fingerprint;
     request->admittedAt = context.now();
-    m_timers.push({ request->deadline, request->id, false });
+    m_timers.push({ request->deadline, request->id, TimerKind::Deadline });
     if (request->key)
         return beginKeyed(*request, context);
     request->service->budget.deposit();
@@ -257,10 +308,17 @@
         Request* request = find(timer.request);
         if (!request)
             continue;
-        if (timer.hedge)
-            hedge(*request, context);
-        else
+        switch (timer.kind) {
+        case TimerKind::Deadline:
             expireDeadline(*request, context);
+            break;
+        case TimerKind::Hedge:
+            hedge(*request, context);
+            break;
+        case TimerKind::Slow:
+            onSlow(*request, context);
+            break;
+        }
     }
     for (auto& [name, service] : m_services) {
         for (const RequestId expired : service->queue.expire(context.now())) {
--- a/src/decision/request_flow.h
+++ b/src/decision/request_flow.h
@@ -45,6 +45,10 @@
     /// Routes later requests by `sheet`, which the pool has adopted. Requests in progress keep theirs.
     void adopt(SheetPtr sheet);
 
+    /// @param retries that the whole fleet may add to the share of each service
+    void setRetryAllowance(std::uint32_t retries) { m_retryAllowance = retries; }
+    void setFleetSize(std::uint32_t instances);
+
     /// Accepts requests from now on.
     void open() { m_open = true; }
 
@@ -83,6 +87,9 @@
         std::optional<std::uint32_t> index;
         AdmissionQueue queue;
         RetryBudget budget;
+        UsualTime usual;
+        /// Some of its requests may be sent twice, so they find out whether a server has recovered.
+        bool idempotentKnown = false;
     };
     using ServicePtr = std::shared_ptr<Service>;
 
@@ -101,10 +108,14 @@
     struct ActiveTry {
         TryId id;
         ServerId server;
+        Time sentAt;
+        bool slow = false;
     };
 
     struct Request {
         RequestId id;
+        /// Name for the logs.
+        std::string label;
         SheetPtr sheet;
         const SheetRule* rule = nullptr;
         ServicePtr service;
@@ -121,14 +132,23 @@
         std::array<ServerId, MAX_TRIED> tried;
         std::uint8_t triedCount = 0;
         std::uint8_t sendCount = 0;
+        /// Sends that are not proved not to have run.
+        std::uint8_t unprovedCount = 0;
         std::array<ActiveTry, MAX_ACTIVE> active;
         std::uint8_t activeCount = 0;
     };
 
+    enum class TimerKind : std::uint8_t {
+        Deadline,
+        Hedge,
+        /// A send lasts far longer than is usual.
+        Slow,
+    };
+
     struct Timer {
         Time at;
         RequestId request;
-        bool hedge;
+        TimerKind kind;
 
         friend bool operator>(const Timer& a, const Timer& b) { return a.at > b.at; }
     };
@@ -157,6 +177,14 @@
     void send(Request& request, Server& server, Context& context);
     void pump(Service& service, Context& context);
     bool retry(Request& request, Context& context);
+    bool resend(Request& request, bool arrived, Context& context);
+    bool placedByCost(const Request& request) const { return request.service->config.placement == Placement::ExpectedCost; }
+    double acceptableRisk(const Request& request, Time now) const;
+    Time queueEnd(const Request& request, Time now) const;
+    void onSlow(Request& request, Context& context);
+    void observe(Request& request, const ActiveTry& ended, Observation observation, Context& context);
+    std::uint32_t chooseService(const SheetRule& rule, Context& context);
+    void setBurst(Service& service) const;
     void hedge(Request& request, Context& context);
 
     // Ends of sends.
@@ -191,6 +219,10 @@
     std::vector<RequestId> m_paused;
     bool m_keyedPaused = false;
     bool m_open = false;
+    std::uint32_t m_retryAllowance = 0;
+    std::uint32_t m_fleetSize = 1;
+    /// Position in the sequence that divides the requests of a rule, by rule.
+    std::unordered_map<std::string, double> m_splits;
     Counters m_counters;
 };
 
--- a/src/decision/request_sends.cpp
+++ b/src/decision/request_sends.cpp
@@ -8,6 +8,9 @@
 
     // A backend server that shed is left alone for about one service time.
     constexpr Millis SHED_PAUSE { 20 };
+    // An address that another server took over is used again once its entry is renewed.
+    constexpr Millis MISDIRECTED_PAUSE { 2000 };
+    constexpr std::uint16_t SERVICE_UNAVAILABLE = 503;
     // A try shorter than this is not worth its cost.
     constexpr Millis MIN_TRY_TIME { 5 };
     constexpr std::uint8_t MAX_CONNECT_TRIES = 3;
@@ -31,7 +34,7 @@
     const auto next = service.queue.front();
     if (!next && trySend(request, context))
         return;
-    const Time expires = std::min<Time>(request.deadline, context.now() + service.config.queueTime);
+    const Time expires = queueEnd(request, context.now());
     const auto admission = service.queue.enter({ request.id, expires }, request.rule->priority, service.config.queueLimit);
     if (admission.displaced) {
         if (Request* displaced = find(*admission.displaced))
@@ -62,8 +65,12 @@
     pick.now = context.now();
     pick.random = context.random();
     pick.excluded = { request.tried.data(), request.triedCount };
-    pick.trialAllowed = request.rule->kind == RequestKind::Idempotent;
-    pick.borrowAllowed = mayBorrow(request, context.now());
+    const bool byCost = placedByCost(request);
+    pick.trialAllowed = request.rule->kind == RequestKind::Idempotent || (byCost && !request.service->idempotentKnown);
+    if (byCost)
+        pick.acceptableRisk = acceptableRisk(request, context.now());
+    else
+        pick.borrowAllowed = mayBorrow(request, context.now());
     Server* server = m_parts.pool.pick(*request.service->index, pick);
     if (!server)
         return false;
@@ -71,6 +78,24 @@
     return true;
 }
 
+// The longer a request has waited, the more it has to gain from a doubtful server.
+double RequestFlow::acceptableRisk(const Request& request, Time now) const
+{
+    constexpr double atOnce = 0.35;
+    const Millis objective = request.rule->objective.value_or(request.rule->timeLimit / 2);
+    const double waited = static_cast<double>((now - request.admittedAt).count()) / static_cast<double>(Duration { objective }.count());
+    return std::min(atOnce + (1 - atOnce) * waited, 1.0);
+}
+
+Time RequestFlow::queueEnd(const Request& request, Time now) const
+{
+    if (!placedByCost(request))
+        return std::min<Time>(request.deadline, now + request.service->config.queueTime);
+    // What could still be answered in time may wait; the rest is told at once when to come back.
+    const Millis objective = request.rule->objective.value_or(request.rule->timeLimit / 2);
+    return std::min<Time>(request.deadline - request.service->usual.typical(), now + objective);
+}
+
 // A borrowed slot may be taken, and a shed ends an at-most-once request: it waits longer for a slot of its own.
 bool RequestFlow::mayBorrow(const Request& request, Time now) const
 {
@@ -88,19 +113,28 @@
     request.phase = Phase::Sent;
     request.tried[request.triedCount++] = server.id;
     ++request.sendCount;
-    request.active[request.activeCount++] = { id, server.id };
+    ++request.unprovedCount;
+    request.active[request.activeCount++] = { id, server.id, context.now() };
     m_tries.emplace(id, request.id);
     m_parts.pool.begin(server);
-    m_parts.evidence.trySent(id, server.id, context.now());
+    const bool byCost = placedByCost(request);
+    if (!byCost)
+        m_parts.evidence.trySent(id, server.id, context.now());
+    else if (m_parts.pool.beliefs().dueForTrial(server.id, context.now()))
+        m_parts.pool.beliefs().beginTrial(server.id, context.now());
 
     const auto remaining = request.runLimit - context.now();
-    const std::uint32_t triesLeft = request.rule->tries > request.sendCount ? request.rule->tries - request.sendCount : 0;
+    const std::uint32_t triesLeft = byCost ? 0 : request.rule->tries > request.sendCount ? request.rule->tries - request.sendCount
+                                                                                         : 0;
     const SheetService& config = request.service->config;
     context.emit(SendTry { request.id, id, server.id, server.config.name, server.config.address,
         context.now() + remaining / (triesLeft + 1), request.rule->connection, request.rule->maxAnswer,
         config.shedStatus, config.shedHeader, config.drainHeader });
     if (request.rule->hedgeAfter && request.sendCount == 1)
-        m_timers.push({ context.now() + *request.rule->hedgeAfter, request.id, true });
+        m_timers.push({ context.now() + *request.rule->hedgeAfter, request.id, TimerKind::Hedge });
+    const Duration bound = request.service->usual.bound();
+    if (byCost && bound > Duration {})
+        m_timers.push({ context.now() + bound, request.id, TimerKind::Slow });
 }
 
 void RequestFlow::pump(Service& service, Context& context)
@@ -122,8 +156,49 @@
     }
 }
 
+void RequestFlow::onSlow(Request& request, Context& context)
+{
+    const Duration bound = request.service->usual.bound();
+    bool anySlow = false;
+    for (std::uint8_t i = 0; i < request.activeCount; ++i) {
+        ActiveTry& active = request.active[i];
+        if (active.slow || context.now() - active.sentAt < bound)
+            continue;
+        active.slow = true;
+        anySlow = true;
+        observe(request, active, Observation::Slow, context);
+    }
+    if (anySlow && request.rule->kind == RequestKind::Idempotent && request.rule->tries > 1)
+        hedge(request, context);
+}
+
+void RequestFlow::observe(Request& request, const ActiveTry& ended, Observation observation, Context& context)
+{
+    m_parts.evidence.observed(ended.server, observation, request.label, context);
+}
+
+// Sends a request again whose earlier sends are proved not to have run, or which is idempotent.
+bool RequestFlow::resend(Request& request, bool arrived, Context& context)
+{
+    const bool idempotent = request.rule->kind == RequestKind::Idempotent;
+    const std::uint32_t limit = idempotent ? request.rule->tries : 1;
+    if (request.answered || request.unprovedCount >= limit || context.now() + MIN_TRY_TIME >= request.deadline)
+        return false;
+    if (request.rule->tries < 2 || m_parts.quarantine.stops(request.fingerprint, context.now()))
+        return false;
+    // A send that never arrived adds no load.
+    if (arrived && !request.service->budget.withdraw())
+        return false;
+    if (!trySend(request, context))
+        return false;
+    ++m_counters.retries;
+    return true;
+}
+
 bool RequestFlow::retry(Request& request, Context& context)
 {
+    if (placedByCost(request))
+        return resend(request, true, context);
     if (request.rule->kind != RequestKind::Idempotent || request.sendCount >= request.rule->tries)
         return false;
     if (context.now() + MIN_TRY_TIME >= request.deadline || m_parts.quarantine.stops(request.fingerprint, context.now()))
@@ -190,27 +265,47 @@
     const bool failed = isServerError(*event.answer);
     m_parts.quarantine.recordSuccess(request.fingerprint);
     m_parts.evidence.tryEnded(ended.id, failed ? Evidence::Failure : Evidence::Success, context.now());
+    if (placedByCost(request)) {
+        if (failed)
+            observe(request, ended, Observation::Failure, context);
+        else {
+            request.service->usual.add(context.now() - ended.sentAt);
+            if (!ended.slow)
+                observe(request, ended, Observation::Success, context);
+        }
+    }
     if (failed && !request.answered && (request.activeCount || retry(request, context)))
         return;
+    // Without proof such a status would promise that the request has not run.
+    if (failed && request.rule->kind == RequestKind::AtMostOnce && event.answer->status == SERVICE_UNAVAILABLE && placedByCost(request))
+        return settle(request, { Outcome::Unknown, ErrorKind::ServerFailed, nullptr }, {}, context);
     settle(request, { Outcome::Ran, ErrorKind::None, event.answer }, {}, context);
 }
 
-void RequestFlow::onShed(Request& request, const ActiveTry& ended, const TryFinished&, Context& context)
+void RequestFlow::onShed(Request& request, const ActiveTry& ended, const TryFinished& event, Context& context)
 {
     ++m_counters.sheds;
+    --request.unprovedCount;
     m_parts.evidence.tryEnded(ended.id, Evidence::None, context.now());
     if (Server* server = m_parts.pool.find(ended.server))
-        server->busyUntil = context.now() + SHED_PAUSE;
+        server->busyUntil = context.now() + (event.misdirected ? MISDIRECTED_PAUSE : SHED_PAUSE);
     if (request.activeCount || retry(request, context))
         return;
-    // Another send of this request may have run, unless this was the only one.
-    const Outcome outcome = request.sendCount == 1 ? Outcome::NotRun : Outcome::Unknown;
+    const Outcome outcome = request.unprovedCount ? Outcome::Unknown : Outcome::NotRun;
     settle(request, { outcome, ErrorKind::ServerShed, nullptr }, RETRY_AFTER, context);
 }
 
 void RequestFlow::onNotSent(Request& request, const ActiveTry& ended, const TryFinished&, Context& context)
 {
     m_parts.evidence.tryEnded(ended.id, Evidence::Failure, context.now());
+    --request.unprovedCount;
+    if (placedByCost(request)) {
+        observe(request, ended, Observation::Unreachable, context);
+        if (request.activeCount || resend(request, false, context))
+            return;
+        const Outcome proved = request.unprovedCount ? Outcome::Unknown : Outcome::NotRun;
+        return settle(request, { proved, ErrorKind::ServerUnreachable, nullptr }, RETRY_AFTER, context);
+    }
     if (request.activeCount || retry(request, context))
         return;
     // Nothing was written, so even an at-most-once request may go elsewhere.
@@ -228,6 +323,8 @@
     const bool suspect = m_parts.quarantine.suspects(request.fingerprint, context.now());
     const bool stale = event.result == TryResult::StaleConnection;
     m_parts.evidence.tryEnded(ended.id, suspect || stale ? Evidence::None : Evidence::Failure, context.now());
+    if (placedByCost(request))
+        observe(request, ended, Observation::Broken, context);
     m_parts.crashed(request.fingerprint, context);
     if (request.activeCount || retry(request, context))
         return;
@@ -239,6 +336,8 @@
 void RequestFlow::onBroken(Request& request, const ActiveTry& ended, const TryFinished&, Context& context)
 {
     m_parts.evidence.tryEnded(ended.id, Evidence::Failure, context.now());
+    if (placedByCost(request))
+        observe(request, ended, Observation::Broken, context);
     if (request.activeCount || retry(request, context))
         return;
     settle(request, { Outcome::Unknown, ErrorKind::ServerFailed, nullptr }, {}, context);
@@ -256,6 +355,8 @@
 {
     // Slowness was counted while the send was pending.
     m_parts.evidence.tryEnded(ended.id, Evidence::None, context.now());
+    if (placedByCost(request) && !ended.slow)
+        observe(request, ended, Observation::Slow, context);
     if (request.activeCount || retry(request, context))
         return;
     settle(request, { Outcome::Unknown, ErrorKind::DeadlinePassed, nullptr }, {}, context);
--- a/src/decision/retry_budget.cpp
+++ b/src/decision/retry_budget.cpp
@@ -12,13 +12,22 @@
 
 RetryBudget::RetryBudget(std::uint32_t percent)
     : m_percent(percent)
+    , m_burst(BURST_TOKENS * TOKEN)
     , m_balance(percent ? BURST_TOKENS * TOKEN : 0)
 {
 }
 
+void RetryBudget::setBurst(std::uint32_t tokens)
+{
+    if (m_burst == tokens * TOKEN)
+        return;
+    m_burst = tokens * TOKEN;
+    m_balance = std::min(m_balance, m_burst);
+}
+
 void RetryBudget::deposit()
 {
-    m_balance = std::min(m_balance + m_percent, BURST_TOKENS * TOKEN);
+    m_balance = std::min(m_balance + m_percent, m_burst);
 }
 
 bool RetryBudget::withdraw()
--- a/src/decision/router.cpp
+++ b/src/decision/router.cpp
@@ -2,9 +2,33 @@
 
 #include <xxhash.h>
 
+#include <array>
+
 namespace cornelwind {
 namespace {
 
+    // Longest host name of the domain name system.
+    constexpr std::size_t MAX_HOST = 255;
+
+    /// A host name in lower case, without a port; empty if it is too long.
+    class HostName {
+    public:
+        explicit HostName(std::string_view host)
+        {
+            host = host.substr(0, host.find(':'));
+            if (host.size() > MAX_HOST)
+                return;
+            for (const char c : host)
+                m_text[m_size++] = c >= 'A' && c <= 'Z' ? static_cast<char>(c - 'A' + 'a') : c;
+        }
+
+        std::string_view view() const { return { m_text.data(), m_size }; }
+
+    private:
+        std::array<char, MAX_HOST> m_text {};
+        std::size_t m_size = 0;
+    };
+
     std::string_view withoutTrailingSlash(std::string_view path)
     {
         while (!path.empty() && path.back() == '/')
@@ -16,7 +40,8 @@
 
 std::size_t Router::RouteHash::operator()(const RouteKey& key) const noexcept
 {
-    const auto method = XXH3_64bits(key.method.data(), key.method.size());
+    const auto host = XXH3_64bits(key.host.data(), key.host.size());
+    const auto method = XXH3_64bits_withSeed(key.method.data(), key.method.size(), host);
     return XXH3_64bits_withSeed(key.path.data(), key.path.size(), method);
 }
 
@@ -24,20 +49,38 @@
 {
     for (std::uint32_t i = 0; i < sheet.rules.size(); ++i) {
         const SheetRule& rule = sheet.rules[i];
-        m_rules.emplace(RouteKey { rule.method, withoutTrailingSlash(rule.path) }, i);
+        const bool directory = !rule.host.empty() && rule.path.ends_with('/');
+        m_rules.emplace(RouteKey { rule.host, rule.method, withoutTrailingSlash(rule.path) }, Route { i, directory });
+    }
+}
+
+const Router::Route* Router::find(const RouteKey& key) const
+{
+    // The more specific rule wins: one for the host before one for any, then one for the method.
+    for (const std::string_view host : { key.host, std::string_view {} }) {
+        for (const std::string_view method : { key.method, std::string_view {} }) {
+            const auto found = m_rules.find({ host, method, key.path });
+            if (found != m_rules.end())
+                return &found->second;
+        }
     }
+    return nullptr;
 }
 
-std::optional<std::uint32_t> Router::match(std::string_view method, std::string_view target) const
+std::optional<std::uint32_t> Router::match(std::string_view method, std::string_view target, std::string_view host) const
 {
-    std::string_view path = withoutTrailingSlash(target.substr(0, target.find('?')));
+    const HostName name(host);
+    const std::string_view whole = target.substr(0, target.find('?'));
+    bool withSlash = whole.ends_with('/');
+    std::string_view path = withoutTrailingSlash(whole);
     for (;;) {
-        const auto found = m_rules.find({ method, path });
-        if (found != m_rules.end())
-            return found->second;
+        const Route* route = find({ name.view(), method, path });
+        if (route && (withSlash || !route->directory))
+            return route->rule;
         if (path.empty())
             return std::nullopt;
         path = path.substr(0, path.rfind('/'));
+        withSlash = true;
     }
 }
 
--- a/src/decision/selector.cpp
+++ b/src/decision/selector.cpp
@@ -72,8 +72,26 @@
         }
     };
 
+    // Transfer between zones and its delay, against an answer in time.
+    constexpr double OTHER_ZONE_COST = 0.03;
+    // A slot that another instance may be using: the request may have to wait at the server.
+    constexpr double BORROWED_SLOT_COST = 0.04;
+    constexpr double FULL_SERVER_COST = 0.1;
+    constexpr double TIE_BREAK = 0.01;
+
 } // namespace
 
+double expectedCost(const PlacementInput& input, std::uint64_t random)
+{
+    double cost = input.risk;
+    if (!input.sameZone)
+        cost += OTHER_ZONE_COST;
+    if (input.inFlight >= input.ownSlots)
+        cost += BORROWED_SLOT_COST;
+    cost += FULL_SERVER_COST * input.inFlight / std::max<std::uint32_t>(input.slots, 1);
+    return cost + TIE_BREAK * static_cast<double>(random >> HALF_BITS) / 4294967296.0;
+}
+
 std::unique_ptr<Selector> makeRandomSelector()
 {
     return std::make_unique<RandomSelector>();
--- a/src/decision/server_pool.cpp
+++ b/src/decision/server_pool.cpp
@@ -21,8 +21,9 @@
     return "unknown";
 }
 
-ServerPool::ServerPool(std::unique_ptr<Selector> selector)
+ServerPool::ServerPool(std::unique_ptr<Selector> selector, ZoneName zone)
     : m_selector(std::move(selector))
+    , m_zone(std::move(zone))
 {
 }
 
@@ -30,14 +31,18 @@
 {
     const bool first = m_services.empty();
     m_services.clear();
+    m_placements.clear();
     std::unordered_map<ServerId, bool> listed;
     for (const SheetService& service : sheet.services) {
         auto& members = m_services.emplace_back();
+        m_placements.push_back(service.placement);
         for (const SheetServer& config : service.servers) {
             const ServerId id = serverIdOf(config.name);
             listed[id] = true;
             Server& server = m_servers[id];
-            const bool isNew = server.id != id;
+            const bool isNew = server.id != id || server.config.incarnation != config.incarnation;
+            if (isNew)
+                m_beliefs.forget(id);
             server.id = id;
             server.config = config;
             server.service = service.name;
@@ -46,7 +51,7 @@
             // At the start of this process nothing says that a server is cold.
             if (isNew && !first) {
                 server.rampStart = now;
-                server.rampEnd = now + service.coldStart;
+                server.rampEnd = now + config.warmup.value_or(service.coldStart);
             }
             members.push_back(&server);
         }
@@ -59,16 +64,47 @@
     reshare();
 }
 
-void ServerPool::setInstances(std::uint32_t rank, std::uint32_t instances)
+void ServerPool::setPosition(const FleetPosition& position)
 {
-    if (rank == m_rank && instances == m_instances)
+    if (position == m_position)
         return;
-    m_rank = rank;
-    m_instances = std::max<std::uint32_t>(instances, 1);
+    m_position = position;
     reshare();
 }
 
 Server* ServerPool::pick(std::uint32_t service, const PickContext& context)
+{
+    return m_placements[service] == Placement::Slots ? pickBySlots(service, context) : pickByCost(service, context);
+}
+
+Server* ServerPool::pickByCost(std::uint32_t service, const PickContext& context)
+{
+    Server* best = nullptr;
+    double bestCost = 0;
+    double lowestRisk = 1;
+    for (const Server* server : m_services[service])
+        lowestRisk = std::min(lowestRisk, m_beliefs.sick(server->id, context.now));
+    std::uint64_t random = context.random;
+    for (Server* server : m_services[service]) {
+        if (!accepts(*server, context))
+            continue;
+        const bool due = m_beliefs.dueForTrial(server->id, context.now);
+        if (due && context.trialAllowed && !server->inFlight)
+            return server;
+        const PlacementInput input { m_beliefs.sick(server->id, context.now), server->config.zone == m_zone, server->inFlight, server->ownSlots, server->config.slots.value() };
+        if (input.risk > std::max(context.acceptableRisk, lowestRisk + context.acceptableRisk / 2))
+            continue;
+        random = random * 6364136223846793005ULL + 1442695040888963407ULL;
+        const double cost = expectedCost(input, random);
+        if (!best || cost < bestCost) {
+            best = server;
+            bestCost = cost;
+        }
+    }
+    return best;
+}
+
+Server* ServerPool::pickBySlots(std::uint32_t service, const PickContext& context)
 {
     m_candidates.clear();
     // With no slot of its own, an instance can only borrow.
@@ -142,7 +178,7 @@
 {
     if (server.standing == Standing::Trial)
         return 1;
-    const std::uint32_t connectionShare = std::max<std::uint32_t>(server.config.connections / m_instances, 1);
+    const std::uint32_t connectionShare = std::max<std::uint32_t>(server.config.connections / std::max<std::uint32_t>(m_position.instances, 1), 1);
     const std::uint32_t full = std::min(server.config.slots.value(), connectionShare);
     if (now >= server.rampEnd)
         return full;
@@ -151,16 +187,32 @@
 }
 
 void ServerPool::reshare()
+{
+    for (std::size_t i = 0; i < m_services.size(); ++i)
+        m_placements[i] == Placement::Slots ? reshareInFleet(m_services[i]) : reshareInZone(m_services[i]);
+}
+
+void ServerPool::reshareInFleet(std::vector<Server*>& members)
 {
     std::vector<Candidate> all;
-    for (const auto& members : m_services) {
-        all.clear();
-        for (const Server* server : members)
-            all.push_back({ server->id, 0, 0, server->standing == Standing::Serving ? server->config.slots.value() : 0 });
-        shareSlots(all, m_rank, m_instances);
-        for (std::size_t i = 0; i < members.size(); ++i)
-            members[i]->ownSlots = all[i].ownSlots;
+    for (const Server* server : members)
+        all.push_back({ server->id, 0, 0, server->standing == Standing::Serving ? server->config.slots.value() : 0 });
+    shareSlots(all, m_position.rank, std::max<std::uint32_t>(m_position.instances, 1));
+    for (std::size_t i = 0; i < members.size(); ++i)
+        members[i]->ownSlots = all[i].ownSlots;
+}
+
+// The instances of a zone divide the servers of that zone, since work that stays there costs least.
+void ServerPool::reshareInZone(std::vector<Server*>& members)
+{
+    std::vector<Candidate> near;
+    for (const Server* server : members) {
+        const bool shared = server->standing == Standing::Serving && server->config.zone == m_zone;
+        near.push_back({ server->id, 0, 0, shared ? server->config.slots.value() : 0 });
     }
+    shareSlots(near, m_position.zoneRank, std::max<std::uint32_t>(m_position.zoneInstances, 1));
+    for (std::size_t i = 0; i < members.size(); ++i)
+        members[i]->ownSlots = near[i].ownSlots;
 }
 
 } // namespace cornelwind
--- a/src/decision/sheet_keeper.cpp
+++ b/src/decision/sheet_keeper.cpp
@@ -13,7 +13,7 @@
     if ((m_current && m_current->hash == hash) || m_lastRefused == hash)
         return false;
     Reasons reasons;
-    auto sheet = readSheet(text, reasons);
+    auto sheet = m_reader(text, reasons);
     if (!sheet) {
         m_lastRefused = hash;
         context.report(DecisionKind::SheetRefused, "sheet", "from " + source, format(reasons.front(), "sheet"));
@@ -25,6 +25,8 @@
         refuse(older ? ErrorKind::OlderSheet : ErrorKind::ConflictingSheet, source, std::to_string(sheet->version.value()), context);
         return false;
     }
+    sheet->hash = hash;
+    sheet->text = std::string(text);
     m_current = std::make_shared<const Sheet>(std::move(*sheet));
     m_adoptedAt = context.now();
     context.report(DecisionKind::SheetAdopted, "sheet", "version " + std::to_string(m_current->version.value()) + " from " + source);
--- a/src/decision/sheet_keeper.h
+++ b/src/decision/sheet_keeper.h
@@ -5,6 +5,7 @@
 
 #include <string>
 #include <string_view>
+#include <utility>
 
 namespace cornelwind {
 
@@ -13,6 +14,12 @@
 /// Memory: the sheet in force and the stamp of the last refused text.
 class SheetKeeper {
 public:
+    /// @param reader reads the form in which sheets are published
+    explicit SheetKeeper(SheetReader reader = readSheet)
+        : m_reader(std::move(reader))
+    {
+    }
+
     /// Checks a text and adopts it if it is newer than the sheet in force.
     ///
     /// @param source named in the decision record
@@ -29,6 +36,7 @@
 private:
     void refuse(ErrorKind kind, const std::string& source, const std::string& detail, Context& context);
 
+    SheetReader m_reader;
     SheetPtr m_current;
     Time m_adoptedAt;
     SheetHash m_lastRefused;
--- a/src/shell/caller_side.cpp
+++ b/src/shell/caller_side.cpp
@@ -26,9 +26,10 @@
 
 } // namespace
 
-CallerSide::CallerSide(RequestStore& requests, Tracer& tracer, EventSink sink)
+CallerSide::CallerSide(RequestStore& requests, Tracer& tracer, Dialect dialect, EventSink sink)
     : m_requests(requests)
     , m_tracer(tracer)
+    , m_dialect(std::move(dialect))
     , m_sink(std::move(sink))
 {
 }
@@ -44,12 +45,13 @@
     const std::string* parent = request.head.find("traceparent");
     request.span = m_tracer.start("caller", parent ? parseTraceparent(*parent) : std::nullopt);
     request.span.attributes = { { "http.request.method", request.head.method }, { "url.path", request.head.target.substr(0, request.head.target.find('?')) } };
-    m_sink(makeHeadReceived(request));
+    m_sink(makeHeadReceived(request, m_dialect));
 }
 
 void CallerSide::serveOwn(const HttpExchangePtr& exchange)
 {
     const HttpHead& head = exchange->head();
+    // A balancer's question has no body.
     const std::string path = head.target.substr(std::string(OWN_PATH).size());
     if (path == "ready" && head.method == "GET")
         m_ready ? exchange->readBody(MAX_OWN_BODY) : exchange->respond(plainAnswer(503, "not ready\n"));
@@ -107,7 +109,7 @@
     std::optional<Millis> retryAfter;
     if (error == ErrorKind::TooManyConnections)
         retryAfter = Millis { 1000 };
-    return makeRefusal(error, Outcome::NotRun, retryAfter, {});
+    return makeRefusal(error, Outcome::NotRun, retryAfter, {}, m_dialect);
 }
 
 void CallerSide::readBody(ActiveRequest& request, const ReadBody& effect)
--- a/src/shell/caller_side.h
+++ b/src/shell/caller_side.h
@@ -17,7 +17,7 @@
     /// Paths below this one are answered by the entry instance itself.
     static constexpr const char* OWN_PATH = "/.cornelwind/";
 
-    CallerSide(RequestStore& requests, Tracer& tracer, EventSink sink);
+    CallerSide(RequestStore& requests, Tracer& tracer, Dialect dialect, EventSink sink);
 
     void onHead(const HttpExchangePtr& exchange) override;
     void onBody(const HttpExchangePtr& exchange, std::string body) override;
@@ -35,6 +35,7 @@
 
     RequestStore& m_requests;
     Tracer& m_tracer;
+    Dialect m_dialect;
     EventSink m_sink;
     std::unordered_map<const HttpExchange*, RequestId> m_byExchange;
     bool m_ready = false;
--- a/src/shell/commands.cpp
+++ b/src/shell/commands.cpp
@@ -6,6 +6,11 @@
 #include "http_client.h"
 #include "instance.h"
 #include "log.h"
+#include "platform/adapter.h"
+#include "platform/store_client.h"
+#include "platform/values.h"
+#include "platform_watch.h"
+#include "store_follower.h"
 
 #include <array>
 #include <boost/json.hpp>
@@ -50,6 +55,8 @@
         Reasons reasons;
         const auto text = readFile(path, reasons);
         auto settings = text ? readSettings(*text, reasons) : std::nullopt;
+        if (settings && !platform::applyLimits(*settings, reasons))
+            settings.reset();
         print(reasons, path);
         return settings;
     }
@@ -65,6 +72,29 @@
         return sheet.has_value();
     }
 
+    std::unique_ptr<PublishedSource> makeWatch(boost::asio::io_context& io, HttpClient& client, const Endpoint& address, PublishedSource::Handler handler)
+    {
+        return std::make_unique<PlatformWatch>(io, client, address, std::move(handler));
+    }
+
+    std::unique_ptr<PublishedSource> makeFollower(boost::asio::io_context& io, HttpClient& client, const Endpoint& address, PublishedSource::Handler handler)
+    {
+        return std::make_unique<StoreFollower>(io, std::make_unique<platform::StoreClient>(client, address), std::move(handler));
+    }
+
+    Adapter makeAdapter(const Settings& settings, const std::string& path)
+    {
+        Adapter adapter;
+        adapter.reload = [path] { return loadSettings(path); };
+        adapter.makeSource = makeWatch;
+        if (settings.platformForm == PlatformForm::Sheet)
+            return adapter;
+        adapter.makeSource = makeFollower;
+        adapter.dialect = platform::makeDialect();
+        adapter.sheetReader = [percent = settings.retryPercent](std::string_view text, Reasons& reasons) { return platform::readConfiguration(text, percent, reasons); };
+        return adapter;
+    }
+
     ExitCode serve(const Arguments& arguments)
     {
         if (!arguments.settings)
@@ -73,7 +103,8 @@
         if (!settings)
             return ExitCode::Faulty;
         startLog(settings->name.value(), settings->logLevel);
-        Instance instance(std::move(*settings));
+        Adapter adapter = makeAdapter(*settings, *arguments.settings);
+        Instance instance(std::move(*settings), std::move(adapter));
         Reason reason;
         if (!instance.start(reason))
             return fail(ExitCode::ListenFailed, reason);
--- a/src/shell/http_client.cpp
+++ b/src/shell/http_client.cpp
@@ -1,6 +1,7 @@
 #include "http_client.h"
 
 #include <boost/asio/connect.hpp>
+#include <boost/asio/detail/socket_option.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -10,8 +11,11 @@
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/string_body.hpp>
 
+#include <netinet/tcp.h>
+
 #include <algorithm>
 #include <array>
+#include <charconv>
 #include <map>
 #include <optional>
 #include <unordered_map>
@@ -30,11 +34,32 @@
     constexpr Duration MAX_IDLE_TIME = std::chrono::seconds(20);
     constexpr std::size_t MAX_ANSWER_HEAD = 64 * 1024;
 
+    // A peer that went away without a word is noticed after 1 + 2 * 1 s.
+    constexpr int PROBE_AFTER_S = 1;
+    constexpr int PROBE_INTERVAL_S = 1;
+    constexpr int PROBE_COUNT = 2;
+    // Before the server closes an idle connection by the time that it states.
+    constexpr Duration IDLE_RESERVE = std::chrono::seconds(1);
+
     struct IdleConnection {
         tcp::socket socket;
         Time since;
+        Time until;
     };
 
+    // `timeout=N` of a Keep-Alive header, or the usual time.
+    Duration idleTimeOf(std::string_view keepAlive)
+    {
+        const auto position = keepAlive.find("timeout=");
+        std::uint32_t seconds = 0;
+        if (position == keepAlive.npos)
+            return MAX_IDLE_TIME;
+        const char* begin = keepAlive.data() + position + std::string_view("timeout=").size();
+        if (std::from_chars(begin, keepAlive.data() + keepAlive.size(), seconds).ec != std::errc {})
+            return MAX_IDLE_TIME;
+        return std::clamp<Duration>(std::chrono::seconds(seconds) - IDLE_RESERVE, Duration {}, MAX_IDLE_TIME);
+    }
+
     // An idle connection must be silent: data or an end means that it cannot carry a request.
     bool isSilent(tcp::socket& socket)
     {
@@ -62,6 +87,18 @@
 
 } // namespace
 
+void keepAlive(tcp::socket& socket)
+{
+    using KeepAliveIdle = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPIDLE>;
+    using KeepAliveInterval = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPINTVL>;
+    using KeepAliveCount = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPCNT>;
+    ErrorCode ignored;
+    socket.set_option(asio::socket_base::keep_alive(true), ignored);
+    socket.set_option(KeepAliveIdle(PROBE_AFTER_S), ignored);
+    socket.set_option(KeepAliveInterval(PROBE_INTERVAL_S), ignored);
+    socket.set_option(KeepAliveCount(PROBE_COUNT), ignored);
+}
+
 Time steadyNow()
 {
     return std::chrono::time_point_cast<Duration>(std::chrono::steady_clock::now());
@@ -82,23 +119,23 @@
         while (!idle.empty()) {
             IdleConnection connection = std::move(idle.back());
             idle.pop_back();
-            if (steadyNow() - connection.since < MAX_IDLE_TIME && isSilent(connection.socket))
+            if (steadyNow() < connection.until && isSilent(connection.socket))
                 return std::move(connection.socket);
         }
         return std::nullopt;
     }
 
-    void give(const Endpoint& address, tcp::socket socket)
+    void give(const Endpoint& address, tcp::socket socket, Duration idleTime)
     {
         auto& idle = m_idle[toString(address)];
         if (idle.size() < MAX_IDLE_PER_ADDRESS)
-            idle.push_back({ std::move(socket), steadyNow() });
+            idle.push_back({ std::move(socket), steadyNow(), steadyNow() + idleTime });
     }
 
     void closeExpired()
     {
         for (auto& [address, idle] : m_idle)
-            std::erase_if(idle, [](const IdleConnection& connection) { return steadyNow() - connection.since >= MAX_IDLE_TIME; });
+            std::erase_if(idle, [](const IdleConnection& connection) { return steadyNow() >= connection.until; });
         std::erase_if(m_idle, [](const auto& row) { return row.second.empty(); });
     }
 
@@ -114,6 +151,7 @@
     Exchange(asio::io_context& io, std::shared_ptr<Pool> pool, CallId id, HttpCall call, CallHandler handler)
         : m_socket(io)
         , m_timer(io)
+        , m_connectTimer(io)
         , m_pool(std::move(pool))
         , m_id(id)
         , m_call(std::move(call))
@@ -147,9 +185,17 @@
         const auto host = asio::ip::make_address(m_call.address.host, error);
         if (error)
             return finish(TryResult::NotSent);
+        m_connectTimer.expires_after(m_call.connectTime);
+        m_connectTimer.async_wait([self = shared_from_this()](ErrorCode waitError) {
+            if (!waitError && !self->m_connected)
+                self->finish(TryResult::NotSent);
+        });
         m_socket.async_connect({ host, m_call.address.port }, [self = shared_from_this()](ErrorCode connectError) {
             if (connectError)
                 return self->finish(TryResult::NotSent);
+            self->m_connected = true;
+            self->m_connectTimer.cancel();
+            keepAlive(self->m_socket);
             ErrorCode ignored;
             self->m_socket.set_option(tcp::no_delay(true), ignored);
             self->write();
@@ -165,10 +211,12 @@
         m_head = serializeHead(m_call);
         const std::array<asio::const_buffer, 2> buffers { asio::buffer(m_head), asio::buffer(m_call.body) };
         asio::async_write(m_socket, buffers, [self = shared_from_this()](ErrorCode error, std::size_t written) {
-            if (!error)
+            self->m_wroteAll = !error;
+            // A server may answer before it has read all, and close.
+            if (!error || written)
                 return self->readHead();
-            self->m_wrote = written > 0;
-            self->finish(self->m_wrote ? self->lostResult() : TryResult::NotSent);
+            self->m_wrote = false;
+            self->finish(TryResult::NotSent);
         });
     }
 
@@ -191,9 +239,10 @@
 
     void readBody()
     {
-        // Without a stated length a cut answer looks like a whole one.
-        if (m_parser->need_eof())
+        // Without a stated length a cut answer looks like a whole one, unless its connection ends in order.
+        if (m_parser->need_eof() && !m_call.allowUnsized)
             return finish(TryResult::Broken);
+        m_parser->body_limit(m_call.maxAnswer);
         http::async_read(m_socket, m_buffer, *m_parser, [self = shared_from_this()](ErrorCode error, std::size_t) {
             if (error)
                 return self->finish(self->failure(error));
@@ -210,18 +259,28 @@
             const std::string name(field.name_string());
             if (!m_call.echoHeader.empty() && beast::iequals(name, m_call.echoHeader)) {
                 if (field.value() != m_call.echoValue)
-                    return finish(TryResult::Broken);
-                continue;
+                    return skipAnswer();
+                if (!m_call.keepEcho)
+                    continue;
             }
             if (!isHopByHop(name))
                 answer->headers.push_back({ name, std::string(field.value()) });
         }
         answer->body = std::move(message.body());
         m_answer = std::move(answer);
-        m_reusable = message.keep_alive() && !m_buffer.size();
+        m_reusable = m_wroteAll && message.keep_alive() && !m_buffer.size();
+        m_idleTime = idleTimeOf(message[http::field::keep_alive]);
         finish(TryResult::Answered);
     }
 
+    // On a reused connection a late answer to an earlier request may come first; the own one follows.
+    void skipAnswer()
+    {
+        if (!m_reused || m_parser->need_eof())
+            return finish(TryResult::Broken);
+        readHead();
+    }
+
     TryResult lostResult() const
     {
         if (m_anyByte)
@@ -243,9 +302,10 @@
         if (std::exchange(m_done, true))
             return;
         m_timer.cancel();
+        m_connectTimer.cancel();
         m_pool->running.erase(m_id);
         if (m_reusable)
-            m_pool->give(m_call.address, std::move(m_socket));
+            m_pool->give(m_call.address, std::move(m_socket), m_idleTime);
         else {
             ErrorCode ignored;
             m_socket.close(ignored);
@@ -258,6 +318,7 @@
 
     tcp::socket m_socket;
     asio::steady_timer m_timer;
+    asio::steady_timer m_connectTimer;
     std::shared_ptr<Pool> m_pool;
     CallId m_id;
     HttpCall m_call;
@@ -266,6 +327,9 @@
     beast::flat_buffer m_buffer;
     std::optional<http::response_parser<http::string_body>> m_parser;
     AnswerPtr m_answer;
+    Duration m_idleTime {};
+    bool m_connected = false;
+    bool m_wroteAll = false;
     bool m_reused = false;
     bool m_wrote = false;
     bool m_anyByte = false;
--- a/src/shell/http_client.h
+++ b/src/shell/http_client.h
@@ -5,6 +5,7 @@
 #include "cornelwind/types.h"
 
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
 
 #include <cstdint>
 #include <functional>
@@ -29,6 +30,12 @@
     /// If set, an answer with another value in this header belongs to another request.
     std::string echoHeader;
     std::string echoValue;
+    /// The header stays in the answer.
+    bool keepEcho = false;
+    /// An answer may end with its connection instead of stating its length.
+    bool allowUnsized = false;
+    /// Time for a new connection.
+    Millis connectTime { 1000 };
 };
 
 /// How a call ended. `answer` is set for Answered only.
@@ -70,6 +77,9 @@
     CallId m_last = 0;
 };
 
+/// Lets the kernel notice a peer that went away without a word.
+void keepAlive(boost::asio::ip::tcp::socket& socket);
+
 /// @return the present time of the clock that `Time` counts
 Time steadyNow();
 
--- a/src/shell/http_server.cpp
+++ b/src/shell/http_server.cpp
@@ -153,6 +153,7 @@
     {
         ErrorCode ignored;
         m_socket.set_option(tcp::no_delay(true), ignored);
+        keepAlive(m_socket);
         if (m_listener->sessions.size() > m_listener->limits.connections) {
             m_phase = Phase::Waiting;
             m_close = true;
--- a/src/shell/instance.cpp
+++ b/src/shell/instance.cpp
@@ -16,11 +16,11 @@
     constexpr std::size_t MAX_EXPLAINED = 50;
     constexpr std::uint32_t ADMIN_CONNECTIONS = 32;
 
-    Reducer makeReducer(const Settings& settings)
+    Reducer makeReducer(const Settings& settings, const SheetReader& reader)
     {
         // Zero means "no incarnation" in messages.
         const std::uint64_t incarnation = std::max<std::uint64_t>(randomBits(), 1);
-        return Reducer::Builder().settings(settings).incarnation(Incarnation { incarnation }).secret(randomSecret().value()).start(steadyNow()).build();
+        return Reducer::Builder().settings(settings).incarnation(Incarnation { incarnation }).secret(randomSecret().value()).start(steadyNow()).sheetReader(reader).build();
     }
 
     LogLevel levelOf(DecisionKind kind)
@@ -50,16 +50,17 @@
 
 } // namespace
 
-Instance::Instance(Settings settings)
+Instance::Instance(Settings settings, Adapter adapter)
     : m_settings(std::move(settings))
+    , m_adapter(std::move(adapter))
     , m_ticker(m_io)
     , m_closer(m_io)
-    , m_signals(m_io, SIGTERM, SIGINT)
-    , m_reducer(makeReducer(m_settings))
+    , m_signals(m_io, SIGTERM, SIGINT, SIGHUP)
+    , m_reducer(makeReducer(m_settings, m_adapter.sheetReader))
     , m_client(m_io)
     , m_tracer(m_client, m_settings.traceCollector, m_settings.name.value())
-    , m_callerSide(m_requests, m_tracer, [this](EventBody body) { apply(std::move(body)); })
-    , m_serverSide(m_requests, m_client, m_tracer, [this](EventBody body) { apply(std::move(body)); })
+    , m_callerSide(m_requests, m_tracer, m_adapter.dialect, [this](EventBody body) { apply(std::move(body)); })
+    , m_serverSide(m_requests, m_client, m_tracer, m_adapter.dialect, [this](EventBody body) { apply(std::move(body)); })
     , m_peerSide(
           m_io, m_requests, m_tracer, m_settings, [this](EventBody body) { apply(std::move(body)); },
           [this](peer::Envelope& message) { m_reducer.sign(message); })
@@ -68,13 +69,17 @@
     , m_adminServer(m_io, m_adminSide, { ADMIN_CONNECTIONS, static_cast<std::size_t>(m_settings.maxHead.value()), m_settings.receiveTime })
 {
     if (m_settings.platform)
-        m_platform = std::make_unique<PlatformWatch>(m_io, m_client, *m_settings.platform, [this](EventBody body) { apply(std::move(body)); });
+        m_platform = m_adapter.makeSource(m_io, m_client, *m_settings.platform, [this](EventBody body) { apply(std::move(body)); });
+    if (m_settings.readiness)
+        m_readinessServer.emplace(m_io, m_callerSide, HttpLimits { ADMIN_CONNECTIONS, static_cast<std::size_t>(m_settings.maxHead.value()), m_settings.receiveTime });
 }
 
 bool Instance::start(Reason& reason)
 {
     const auto callers = m_callerServer.listen(m_settings.callers, reason);
     const auto admin = callers ? m_adminServer.listen(m_settings.admin, reason) : std::nullopt;
+    if (admin && m_readinessServer && !m_readinessServer->listen(*m_settings.readiness, reason))
+        return false;
     if (!admin || !m_peerSide.listen(m_settings.peers, reason))
         return false;
     logLine(LogLevel::Info, LogPart::Main, "Listening for callers at " + toString(*callers) + ", for operators at " + toString(*admin) + ", for peers at " + toString(m_settings.peers) + ".");
@@ -132,8 +137,9 @@
         return m_tracer.end(request->span);
     }
     Answer answer = *effect.answer;
-    answer.headers.push_back({ OUTCOME_HEADER, toString(Outcome::Ran) });
-    if (!effect.nextKey.empty())
+    if (m_adapter.dialect.fleetHeaders)
+        answer.headers.push_back({ OUTCOME_HEADER, toString(Outcome::Ran) });
+    if (m_adapter.dialect.fleetHeaders && !effect.nextKey.empty())
         answer.headers.push_back({ NEXT_KEY_HEADER, effect.nextKey });
     m_callerSide.respond(*request, std::move(answer));
 }
@@ -148,7 +154,7 @@
         request->span.failed = true;
         return m_tracer.end(request->span);
     }
-    m_callerSide.respond(*request, makeRefusal(effect.error, effect.outcome, effect.retryAfter, effect.nextKey));
+    m_callerSide.respond(*request, makeRefusal(effect.error, effect.outcome, effect.retryAfter, effect.nextKey, m_adapter.dialect));
 }
 
 void Instance::on(const GiveKeys& effect)
@@ -164,6 +170,12 @@
         m_platform->watch(effect.enabled, effect.listRefresh);
 }
 
+void Instance::on(const RefreshPublished&)
+{
+    if (m_platform)
+        m_platform->refresh();
+}
+
 void Instance::on(const Report& effect)
 {
     ++m_figures.decisions.at(static_cast<std::size_t>(effect.decision.kind));
@@ -221,14 +233,28 @@
 
 void Instance::awaitSignal()
 {
-    m_signals.async_wait([this](boost::system::error_code error, int) {
+    m_signals.async_wait([this](boost::system::error_code error, int signal) {
         if (error)
             return;
-        apply(StopRequested {});
+        if (signal == SIGHUP)
+            reload();
+        else
+            apply(StopRequested {});
         awaitSignal();
     });
 }
 
+// Addresses and limits hold from the start on; what may change while running is taken over.
+void Instance::reload()
+{
+    const auto settings = m_adapter.reload ? m_adapter.reload() : std::nullopt;
+    if (!settings)
+        return logLine(LogLevel::Warn, LogPart::Main, "Settings cannot be read again; the present ones stay in use.");
+    startLog(settings->name.value(), settings->logLevel);
+    logLine(LogLevel::Info, LogPart::Main, "Settings read again: " + std::to_string(settings->seeds.size()) + " seeds.");
+    apply(SettingsChanged { settings->seeds });
+}
+
 AdminSide::Parts Instance::adminParts()
 {
     return {
--- a/src/shell/instance.h
+++ b/src/shell/instance.h
@@ -4,11 +4,13 @@
 #include "caller_side.h"
 #include "cornelwind/reducer.h"
 #include "cornelwind/settings.h"
+#include "cornelwind/sheet.h"
+#include "dialect.h"
 #include "http_client.h"
 #include "http_server.h"
 #include "metrics.h"
 #include "peer_side.h"
-#include "platform_watch.h"
+#include "published_source.h"
 #include "request_store.h"
 #include "server_side.h"
 #include "trace.h"
@@ -17,15 +19,28 @@
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/steady_timer.hpp>
 
+#include <functional>
 #include <memory>
 #include <optional>
 
 namespace cornelwind {
 
+/// What an entry instance takes from the adapter of a platform.
+struct Adapter {
+    using SourceMaker = std::function<std::unique_ptr<PublishedSource>(boost::asio::io_context&, HttpClient&, const Endpoint&, PublishedSource::Handler)>;
+    using SettingsLoader = std::function<std::optional<Settings>()>;
+
+    Dialect dialect;
+    SheetReader sheetReader = readSheet;
+    SourceMaker makeSource;
+    /// Reads the settings again after they changed.
+    SettingsLoader reload;
+};
+
 /// An entry instance: one reducer and the I/O around it, on one thread.
 class Instance {
 public:
-    explicit Instance(Settings settings);
+    Instance(Settings settings, Adapter adapter);
 
     /// Opens the listeners.
     ///
@@ -49,6 +64,7 @@
     void on(const SendPeer& effect) { m_peerSide.send(effect); }
     void on(const SendProbe& effect) { m_serverSide.probe(effect); }
     void on(const WatchPlatform& effect);
+    void on(const RefreshPublished& effect);
     void on(const Report& effect);
     void on(const SetReady& effect);
     void on(const Stopped& effect);
@@ -56,11 +72,13 @@
     void tick();
     void maintain();
     void awaitSignal();
+    void reload();
     void awaitClosed(Time until);
     AdminSide::Parts adminParts();
     ShellFigures figures() const;
 
     Settings m_settings;
+    Adapter m_adapter;
     boost::asio::io_context m_io;
     boost::asio::steady_timer m_ticker;
     boost::asio::steady_timer m_closer;
@@ -75,7 +93,8 @@
     AdminSide m_adminSide;
     HttpServer m_callerServer;
     HttpServer m_adminServer;
-    std::unique_ptr<PlatformWatch> m_platform;
+    std::optional<HttpServer> m_readinessServer;
+    std::unique_ptr<PublishedSource> m_platform;
     EffectList m_spareEffects;
     ShellFigures m_figures;
     Time m_nextMaintenance;
--- a/src/shell/metrics.h
+++ b/src/shell/metrics.h
@@ -17,7 +17,7 @@
     std::uint64_t platformCalls = 0;
     std::uint64_t spansDropped = 0;
     /// Decisions by kind.
-    std::array<std::uint64_t, 14> decisions {};
+    std::array<std::uint64_t, DECISION_KINDS> decisions {};
 };
 
 /// @return all metrics in the Prometheus text format
--- a/src/shell/peer_side.cpp
+++ b/src/shell/peer_side.cpp
@@ -39,11 +39,11 @@
         field.set_value(value);
     };
     for (const Header& header : request.head.headers) {
-        if (!boost::algorithm::iequals(header.name, "traceparent") && !boost::algorithm::iequals(header.name, DEADLINE_HEADER))
+        if (!boost::algorithm::iequals(header.name, "traceparent") && !boost::algorithm::iequals(header.name, m_dialect.deadlineHeader))
             add(header.name, header.value);
     }
     add("traceparent", request.span.context.header());
-    add(DEADLINE_HEADER, std::to_string(effect.remaining.count()));
+    add(m_dialect.deadlineHeader, std::to_string(effect.remaining.count()));
     forward.set_body(request.body);
     m_sign(message);
     m_link.send(effect.address, message);
@@ -89,7 +89,7 @@
     request.body = forward.body();
     const std::string* parent = request.head.find("traceparent");
     request.span = m_tracer.start("owner", parent ? parseTraceparent(*parent) : std::nullopt);
-    m_sink(makeHeadReceived(request));
+    m_sink(makeHeadReceived(request, m_dialect));
 }
 
 void PeerSide::readBody(const ActiveRequest& request, const ReadBody& effect)
--- a/src/shell/peer_side.h
+++ b/src/shell/peer_side.h
@@ -51,6 +51,8 @@
     EventSink m_sink;
     Signer m_sign;
     PeerLink m_link;
+    /// Entry instances speak the fleet's own dialect among each other.
+    const Dialect m_dialect;
     std::uint64_t m_controlBytes = 0;
 };
 
--- a/src/shell/platform_watch.h
+++ b/src/shell/platform_watch.h
@@ -3,6 +3,7 @@
 #include "cornelwind/event.h"
 #include "cornelwind/types.h"
 #include "http_client.h"
+#include "published_source.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -17,19 +18,20 @@
 ///
 /// `GET /sheet` and `GET /instances` with `If-None-Match`; `?wait_ms=` keeps a
 /// call waiting until the value changes. One call per value at a time.
-class PlatformWatch {
+class PlatformWatch final : public PublishedSource {
 public:
-    using Handler = std::function<void(EventBody)>;
-
     PlatformWatch(boost::asio::io_context& io, HttpClient& client, Endpoint platform, Handler handler);
 
     /// Reads both values once.
-    void start();
+    void start() override;
 
     /// @param enabled waits for changes of both values; else reads only the list, every `listRefresh`
-    void watch(bool enabled, Millis listRefresh);
+    void watch(bool enabled, Millis listRefresh) override;
+
+    /// Calls that wait learn of changes by themselves.
+    void refresh() override { }
 
-    std::uint64_t calls() const { return m_calls; }
+    std::uint64_t calls() const override { return m_calls; }
 
 private:
     struct Feed {
--- a/src/shell/request_store.cpp
+++ b/src/shell/request_store.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <cstdio>
 
 namespace cornelwind {
 
@@ -29,12 +30,18 @@
     return Fingerprint { XXH3_64bits_withSeed(body.data(), body.size(), target) };
 }
 
-HeadReceived makeHeadReceived(const ActiveRequest& request)
+HeadReceived makeHeadReceived(const ActiveRequest& request, const Dialect& dialect)
 {
     HeadReceived event { request.id, request.head.method, request.head.target, {}, {}, request.origin.has_value() };
+    if (const std::string* host = request.head.find("Host"))
+        event.host = *host;
+    event.label = request.span.context.traceId;
+    const std::string* label = dialect.requestHeader.empty() ? nullptr : request.head.find(dialect.requestHeader.c_str());
+    if (label)
+        event.label = *label;
     if (const std::string* key = request.head.find(KEY_HEADER))
         event.key = *key;
-    if (const std::string* deadline = request.head.find(DEADLINE_HEADER)) {
+    if (const std::string* deadline = request.head.find(dialect.deadlineHeader.c_str())) {
         std::uint32_t millis = 0;
         const auto [end, error] = std::from_chars(deadline->data(), deadline->data() + deadline->size(), millis);
         if (error == std::errc {} && end == deadline->data() + deadline->size())
@@ -43,23 +50,54 @@
     return event;
 }
 
-Answer makeRefusal(ErrorKind error, Outcome outcome, std::optional<Millis> retryAfter, const std::string& nextKey)
+namespace {
+
+    constexpr std::uint16_t UNAVAILABLE = 503;
+    constexpr std::uint16_t BAD_GATEWAY = 502;
+    constexpr std::uint16_t GATEWAY_TIMEOUT = 504;
+    constexpr std::uint16_t UNPROCESSABLE = 422;
+
+    // Where only the status tells the outcome, 503 means that the request was not run.
+    std::uint16_t statusOf(ErrorKind error, Outcome outcome, const Dialect& dialect)
+    {
+        const std::uint16_t status = describe(error).status;
+        if (!dialect.statusTellsOutcome)
+            return status;
+        if (outcome == Outcome::NotRun)
+            return status >= BAD_GATEWAY || status == UNPROCESSABLE ? UNAVAILABLE : status;
+        return error == ErrorKind::DeadlinePassed ? GATEWAY_TIMEOUT : BAD_GATEWAY;
+    }
+
+    std::string retryAfterOf(Millis wait, const Dialect& dialect)
+    {
+        if (!dialect.fractionalRetryAfter)
+            return std::to_string(std::max<std::int64_t>(1, (wait.count() + 999) / 1000));
+        char text[32];
+        std::snprintf(text, sizeof text, "%.3f", static_cast<double>(wait.count()) / 1000);
+        return text;
+    }
+
+} // namespace
+
+Answer makeRefusal(ErrorKind error, Outcome outcome, std::optional<Millis> retryAfter, const std::string& nextKey, const Dialect& dialect)
 {
     const ErrorInfo& info = describe(error);
+    Answer answer;
+    answer.status = statusOf(error, outcome, dialect);
+    answer.headers = { { "Content-Type", "application/problem+json" } };
+    if (dialect.fleetHeaders)
+        answer.headers.push_back({ OUTCOME_HEADER, toString(outcome) });
+    if (retryAfter)
+        answer.headers.push_back({ "Retry-After", retryAfterOf(*retryAfter, dialect) });
+    if (!nextKey.empty() && dialect.fleetHeaders)
+        answer.headers.push_back({ NEXT_KEY_HEADER, nextKey });
     const boost::json::object problem {
         { "type", std::string("urn:cornelwind:error:") + info.name },
         { "title", info.title },
-        { "status", info.status },
+        { "status", answer.status },
         { "detail", info.remedy },
         { "outcome", toString(outcome) },
     };
-    Answer answer;
-    answer.status = info.status;
-    answer.headers = { { "Content-Type", "application/problem+json" }, { OUTCOME_HEADER, toString(outcome) } };
-    if (retryAfter)
-        answer.headers.push_back({ "Retry-After", std::to_string(std::max<std::int64_t>(1, (retryAfter->count() + 999) / 1000)) });
-    if (!nextKey.empty())
-        answer.headers.push_back({ NEXT_KEY_HEADER, nextKey });
     answer.body = boost::json::serialize(problem) + "\n";
     return answer;
 }
--- a/src/shell/request_store.h
+++ b/src/shell/request_store.h
@@ -2,6 +2,7 @@
 
 #include "cornelwind/event.h"
 #include "cornelwind/types.h"
+#include "dialect.h"
 #include "http_server.h"
 #include "trace.h"
 
@@ -48,13 +49,11 @@
 Fingerprint fingerprintOf(const HttpHead& head, const std::string& body);
 
 /// @return the event for the head of a request; its views refer to `request`
-HeadReceived makeHeadReceived(const ActiveRequest& request);
+HeadReceived makeHeadReceived(const ActiveRequest& request, const Dialect& dialect);
 
 /// @return an answer of the fleet, with a problem body (RFC 9457)
-Answer makeRefusal(ErrorKind error, Outcome outcome, std::optional<Millis> retryAfter, const std::string& nextKey);
+Answer makeRefusal(ErrorKind error, Outcome outcome, std::optional<Millis> retryAfter, const std::string& nextKey, const Dialect& dialect = {});
 
-/// Remaining time in milliseconds, from callers and towards backend servers.
-inline constexpr const char* DEADLINE_HEADER = "Cornelwind-Deadline-Ms";
 inline constexpr const char* OUTCOME_HEADER = "Cornelwind-Outcome";
 inline constexpr const char* NEXT_KEY_HEADER = "Cornelwind-Next-Key";
 inline constexpr const char* KEY_HEADER = "Idempotency-Key";
--- a/src/shell/server_side.cpp
+++ b/src/shell/server_side.cpp
@@ -8,6 +8,7 @@
 namespace cornelwind {
 namespace {
 
+    constexpr std::uint16_t FIRST_REDIRECTION = 300;
     constexpr std::size_t MAX_PROBE_ANSWER = 16 * 1024;
 
     constexpr std::array resultNames { "answered", "shed", "not-sent", "crashed", "stale-connection", "broken", "too-large", "timed-out", "cancelled" };
@@ -24,10 +25,11 @@
 
 } // namespace
 
-ServerSide::ServerSide(RequestStore& requests, HttpClient& client, Tracer& tracer, EventSink sink)
+ServerSide::ServerSide(RequestStore& requests, HttpClient& client, Tracer& tracer, Dialect dialect, EventSink sink)
     : m_requests(requests)
     , m_client(client)
     , m_tracer(tracer)
+    , m_dialect(std::move(dialect))
     , m_sink(std::move(sink))
 {
 }
@@ -36,7 +38,7 @@
 {
     const ActiveRequest* request = m_requests.find(effect.request);
     if (!request)
-        return m_sink(TryFinished { effect.id, TryResult::NotSent, nullptr, false });
+        return m_sink(TryFinished { effect.id, TryResult::NotSent, nullptr });
     Span span = m_tracer.start("try", request->span.context);
     span.attributes = { { "server", effect.name.value() } };
     HttpCall call = makeCall(*request, effect, span);
@@ -52,15 +54,17 @@
     call.method = request.head.method;
     call.target = request.head.target;
     for (const Header& header : request.head.headers) {
-        if (!isReplaced(header.name))
+        if (!isReplaced(header.name) && !boost::algorithm::iequals(header.name, m_dialect.deadlineHeader))
             call.headers.push_back(header);
     }
     const auto remaining = std::chrono::duration_cast<Millis>(effect.deadline - steadyNow());
-    call.headers.push_back({ DEADLINE_HEADER, std::to_string(std::max<std::int64_t>(remaining.count(), 0)) });
-    call.headers.push_back({ "traceparent", span.context.header() });
-    call.echoHeader = TRY_HEADER;
-    call.echoValue = span.context.spanId;
-    call.headers.push_back({ call.echoHeader, call.echoValue });
+    call.headers.push_back({ m_dialect.deadlineHeader, std::to_string(std::max<std::int64_t>(remaining.count(), 0)) });
+    if (!m_dialect.serverHeader.empty())
+        call.headers.push_back({ m_dialect.serverHeader, effect.name.value() });
+    if (m_dialect.fleetHeaders)
+        call.headers.push_back({ "traceparent", span.context.header() });
+    addEcho(request, span, call);
+    call.allowUnsized = m_dialect.unsizedAnswers;
     call.body = request.body;
     call.deadline = effect.deadline;
     call.maxAnswer = effect.maxAnswer.value();
@@ -68,6 +72,22 @@
     return call;
 }
 
+// An answer that repeats another name belongs to another request.
+void ServerSide::addEcho(const ActiveRequest& request, const Span& span, HttpCall& call) const
+{
+    if (m_dialect.requestHeader.empty()) {
+        call.echoHeader = TRY_HEADER;
+        call.echoValue = span.context.spanId;
+        call.headers.push_back({ call.echoHeader, call.echoValue });
+        return;
+    }
+    if (const std::string* name = request.head.find(m_dialect.requestHeader.c_str())) {
+        call.echoHeader = m_dialect.requestHeader;
+        call.echoValue = *name;
+        call.keepEcho = true;
+    }
+}
+
 void ServerSide::onResult(TryId id, const HttpResult& result)
 {
     const auto found = m_sendings.find(id);
@@ -75,10 +95,17 @@
         return;
     Sending sending = std::move(found->second);
     m_sendings.erase(found);
-    TryFinished event { id, result.result, result.answer, false };
+    TryFinished event { id, result.result, result.answer };
     if (result.answer) {
         event.leaving = hasHeader(*result.answer, sending.drainHeader);
-        if (result.answer->status == sending.shedStatus && hasHeader(*result.answer, sending.shedHeader))
+        event.misdirected = m_dialect.misdirectedStatus && result.answer->status == m_dialect.misdirectedStatus;
+        const bool unproved = !m_dialect.proofHeader.empty() && result.answer->status < FIRST_REDIRECTION && !hasHeader(*result.answer, m_dialect.proofHeader);
+        if (unproved) {
+            event.result = TryResult::Broken;
+            event.answer = nullptr;
+        }
+        const bool shedStatus = !sending.shedStatus || result.answer->status == sending.shedStatus;
+        if (event.misdirected || (shedStatus && hasHeader(*result.answer, sending.shedHeader)))
             event.result = TryResult::Shed;
     }
     sending.span.failed = event.result != TryResult::Answered;
--- a/src/shell/server_side.h
+++ b/src/shell/server_side.h
@@ -12,7 +12,7 @@
 /// Carries out sends and probes to backend servers.
 class ServerSide {
 public:
-    ServerSide(RequestStore& requests, HttpClient& client, Tracer& tracer, EventSink sink);
+    ServerSide(RequestStore& requests, HttpClient& client, Tracer& tracer, Dialect dialect, EventSink sink);
 
     void send(const SendTry& effect);
     void cancel(const CancelTry& effect);
@@ -28,11 +28,13 @@
     };
 
     HttpCall makeCall(const ActiveRequest& request, const SendTry& effect, const Span& span) const;
+    void addEcho(const ActiveRequest& request, const Span& span, HttpCall& call) const;
     void onResult(TryId id, const HttpResult& result);
 
     RequestStore& m_requests;
     HttpClient& m_client;
     Tracer& m_tracer;
+    Dialect m_dialect;
     EventSink m_sink;
     std::unordered_map<TryId, Sending> m_sendings;
 };
