Share loads within a zone, keep the queue at the entry instance, say by cause when to return

Change: LoadBook (in flight by server, told within the zone on each change); a full server gets nothing more, the queue stays at the instance in order of priority, who would wait too long is refused at once; a connection has 150 ms; Retry-After by cause, at most a third of the caller's time, scattered; a late answer of a crowded server is no evidence.

--- a/include/cornelwind/selector.h
+++ b/include/cornelwind/selector.h
@@ -26,8 +26,10 @@
     /// Probability that the server is sick.
     double risk = 0;
     bool sameZone = true;
-    /// Requests of this entry instance that it runs now.
-    std::uint32_t inFlight = 0;
+    /// Requests that it is known to have, of this entry instance and of others.
+    std::uint32_t total = 0;
+    /// Those of this entry instance.
+    std::uint32_t own = 0;
     std::uint32_t ownSlots = 0;
     std::uint32_t slots = 1;
 };
--- a/include/cornelwind/server_pool.h
+++ b/include/cornelwind/server_pool.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "cornelwind/belief.h"
+#include "cornelwind/load_book.h"
 #include "cornelwind/selector.h"
 #include "cornelwind/sheet.h"
 #include "cornelwind/types.h"
@@ -62,6 +63,8 @@
     bool borrowAllowed = true;
     /// Highest probability of a sick server that the request is sent to, above that of the best one.
     double acceptableRisk = 1;
+    /// Requests that a server may have beyond its slots.
+    std::uint32_t excess = 0;
 };
 
 /// Position of this entry instance among the live ones.
@@ -100,6 +103,13 @@
     BeliefTable& beliefs() { return m_beliefs; }
     const BeliefTable& beliefs() const { return m_beliefs; }
 
+    /// What the other instances of the zone have at the servers.
+    LoadBook& loads() { return m_loads; }
+    /// @return all that this instance has in flight
+    std::vector<ServerLoad> ownLoads() const;
+    /// @return whether a server has as many requests as slots, as far as is known
+    bool crowded(const Server& server) const { return server.inFlight + m_loads.others(server.id) >= server.config.slots.value(); }
+
     /// @return whether any server of the service takes work at all, busy or not
     bool hasUsable(std::uint32_t service) const;
 
@@ -130,6 +140,7 @@
     std::unique_ptr<Selector> m_selector;
     ZoneName m_zone;
     BeliefTable m_beliefs;
+    LoadBook m_loads;
     FleetPosition m_position;
 };
 
--- a/src/decision/health.cpp
+++ b/src/decision/health.cpp
@@ -41,6 +41,7 @@
 {
     m_sheet = std::move(sheet);
     m_detector.adopt(*m_sheet);
+    m_placesByCost = std::any_of(m_sheet->services.begin(), m_sheet->services.end(), [](const SheetService& service) { return service.placement == Placement::ExpectedCost; });
     for (std::uint32_t i = 0; i < m_parts.pool.serviceCount(); ++i) {
         for (const Server* server : m_parts.pool.servers(i)) {
             if (server->rampEnd > Time {})
@@ -61,6 +62,8 @@
 
 void Health::onTick(Context& context)
 {
+    if (m_placesByCost)
+        tellLoads(context);
     if (!m_sheet || context.now() < m_nextEvaluation)
         return;
     m_nextEvaluation = context.now() + EVIDENCE_INTERVAL;
@@ -241,6 +244,36 @@
     }
 }
 
+// Told within the zone on each change: there the servers are shared, and messages are cheap.
+void Health::tellLoads(Context& context)
+{
+    m_parts.pool.loads().expire(context.now());
+    std::vector<ServerLoad> loads = m_parts.pool.ownLoads();
+    if (loads == m_toldLoads && context.now() < m_nextFullLoads)
+        return;
+    m_nextFullLoads = context.now() + LoadBook::LIFETIME / 3;
+    auto message = std::make_shared<peer::Envelope>();
+    for (const ServerLoad& load : loads) {
+        peer::LoadRow& row = *message->mutable_loads()->add_rows();
+        row.set_server(load.server.value());
+        row.set_in_flight(load.inFlight);
+    }
+    message->mutable_loads();
+    m_toldLoads = std::move(loads);
+    for (const MemberRecord* member : m_parts.members.live()) {
+        if (member->zone == m_parts.members.zone())
+            m_parts.gossip.send(*member, std::make_shared<peer::Envelope>(*message), context);
+    }
+}
+
+void Health::onLoads(const peer::Loads& loads, const MemberRecord& sender, Context& context)
+{
+    std::vector<ServerLoad> rows;
+    for (const peer::LoadRow& row : loads.rows())
+        rows.push_back({ ServerId { row.server() }, row.in_flight() });
+    m_parts.pool.loads().report(sender.name, std::move(rows), context.now());
+}
+
 void Health::reportBelief(ServerId id, Observation observation, const std::string& source, Context& context) const
 {
     const Server* server = m_parts.pool.find(id);
--- a/src/decision/health.h
+++ b/src/decision/health.h
@@ -17,6 +17,7 @@
 namespace peer {
     class Envelope;
     class Evidence;
+    class Loads;
     class Outcomes;
 }
 
@@ -39,6 +40,8 @@
     void adopt(SheetPtr sheet);
     /// Outcomes that a peer saw.
     void onOutcomes(const peer::Outcomes& outcomes, const MemberRecord& sender, Context& context);
+    /// Requests that a peer of the zone has at backend servers.
+    void onLoads(const peer::Loads& loads, const MemberRecord& sender, Context& context);
     void onTick(Context& context);
     void onEvidence(const peer::Evidence& evidence, const MemberRecord& sender, Context& context);
     void onProbe(const ProbeFinished& event, Context& context);
@@ -61,6 +64,7 @@
     void probeQuietServers(Context& context);
     void recordCrash(Fingerprint fingerprint, Context& context);
     void reshareIfChanged();
+    void tellLoads(Context& context);
     void tellOutcome(ServerId server, Observation observation, Context& context);
     void reportBelief(ServerId server, Observation observation, const std::string& source, Context& context) const;
 
@@ -71,6 +75,9 @@
     std::vector<Fingerprint> m_crashesToTell;
     Time m_nextEvaluation;
     Time m_nextProbe;
+    Time m_nextFullLoads;
+    std::vector<ServerLoad> m_toldLoads;
+    bool m_placesByCost = false;
     std::size_t m_servingCount = 0;
     bool m_toldEjections = false;
     bool m_distrusted = false;
--- /dev/null
+++ b/src/decision/load_book.cpp
@@ -0,0 +1,46 @@
+#include "cornelwind/load_book.h"
+
+#include <utility>
+
+namespace cornelwind {
+
+void LoadBook::report(const InstanceName& from, std::vector<ServerLoad> loads, Time now)
+{
+    Report& report = m_reports[from];
+    subtract(report);
+    report = { std::move(loads), now };
+    for (const ServerLoad& load : report.loads)
+        m_sums[load.server] += load.inFlight;
+}
+
+void LoadBook::expire(Time now)
+{
+    for (auto report = m_reports.begin(); report != m_reports.end();) {
+        if (now - report->second.at < LIFETIME) {
+            ++report;
+            continue;
+        }
+        subtract(report->second);
+        report = m_reports.erase(report);
+    }
+}
+
+std::uint32_t LoadBook::others(ServerId server) const
+{
+    const auto found = m_sums.find(server);
+    return found == m_sums.end() ? 0 : found->second;
+}
+
+void LoadBook::subtract(const Report& report)
+{
+    for (const ServerLoad& load : report.loads) {
+        const auto sum = m_sums.find(load.server);
+        if (sum == m_sums.end())
+            continue;
+        sum->second -= load.inFlight;
+        if (!sum->second)
+            m_sums.erase(sum);
+    }
+}
+
+} // namespace cornelwind
--- a/src/decision/reducer.cpp
+++ b/src/decision/reducer.cpp
@@ -129,6 +129,8 @@
             m_health.onEvidence(message.evidence(), *sender, context);
         else if (message.has_outcomes())
             m_health.onOutcomes(message.outcomes(), *sender, context);
+        else if (message.has_loads())
+            m_health.onLoads(message.loads(), *sender, context);
         else if (message.has_servers_request())
             sendServers(*sender, context);
         else if (message.has_servers_reply())
--- a/src/decision/request_flow.cpp
+++ b/src/decision/request_flow.cpp
@@ -323,7 +323,7 @@
     for (auto& [name, service] : m_services) {
         for (const RequestId expired : service->queue.expire(context.now())) {
             if (Request* request = find(expired))
-                settle(*request, { Outcome::NotRun, ErrorKind::QueueTimeout, nullptr }, RETRY_AFTER, context);
+                settle(*request, { Outcome::NotRun, ErrorKind::QueueTimeout, nullptr }, retryAfterOf(*request, RefusalCause::Full, context), context);
         }
         pump(*service, context);
     }
--- a/src/decision/request_flow.h
+++ b/src/decision/request_flow.h
@@ -5,6 +5,7 @@
 #include "cornelwind/counters.h"
 #include "cornelwind/event.h"
 #include "cornelwind/quarantine.h"
+#include "cornelwind/retry_advice.h"
 #include "cornelwind/retry_budget.h"
 #include "cornelwind/router.h"
 #include "cornelwind/server_pool.h"
@@ -88,6 +89,10 @@
         AdmissionQueue queue;
         RetryBudget budget;
         UsualTime usual;
+        /// Sends in the current and in the previous second, for the expected wait.
+        std::uint32_t sends = 0;
+        std::uint32_t sendsBefore = 0;
+        Time countedFrom;
         /// Some of its requests may be sent twice, so they find out whether a server has recovered.
         bool idempotentKnown = false;
     };
@@ -110,6 +115,8 @@
         ServerId server;
         Time sentAt;
         bool slow = false;
+        /// The server had no free slot, so that a late answer says nothing about its health.
+        bool crowded = false;
     };
 
     struct Request {
@@ -171,15 +178,19 @@
 
     // Admission and sends.
     void admit(Request& request, Context& context);
-    std::optional<Refusal> refusalBeforeSend(const Request& request, Time now) const;
+    std::optional<Refusal> refusalBeforeSend(const Request& request, Context& context) const;
     bool trySend(Request& request, Context& context);
     bool mayBorrow(const Request& request, Time now) const;
     void send(Request& request, Server& server, Context& context);
+    static void countSend(Service& service, Time now);
     void pump(Service& service, Context& context);
     bool retry(Request& request, Context& context);
     bool resend(Request& request, bool arrived, Context& context);
     bool placedByCost(const Request& request) const { return request.service->config.placement == Placement::ExpectedCost; }
     double acceptableRisk(const Request& request, Time now) const;
+    std::uint32_t excessOf(const Request& request, Time now) const;
+    Duration expectedWait(const Service& service, Time now) const;
+    Millis retryAfterOf(const Request& request, RefusalCause cause, Context& context) const;
     Time queueEnd(const Request& request, Time now) const;
     void onSlow(Request& request, Context& context);
     void observe(Request& request, const ActiveTry& ended, Observation observation, Context& context);
--- a/src/decision/request_sends.cpp
+++ b/src/decision/request_sends.cpp
@@ -28,32 +28,35 @@
 
 void RequestFlow::admit(Request& request, Context& context)
 {
-    if (const auto refusal = refusalBeforeSend(request, context.now()))
+    if (const auto refusal = refusalBeforeSend(request, context))
         return settle(request, { refusal->outcome, refusal->error, nullptr }, refusal->retryAfter, context);
     Service& service = *request.service;
     const auto next = service.queue.front();
     if (!next && trySend(request, context))
         return;
+    if (placedByCost(request) && context.now() + expectedWait(service, context.now()) > queueEnd(request, context.now()))
+        return settle(request, { Outcome::NotRun, ErrorKind::QueueFull, nullptr }, retryAfterOf(request, RefusalCause::Full, context), context);
     const Time expires = queueEnd(request, context.now());
     const auto admission = service.queue.enter({ request.id, expires }, request.rule->priority, service.config.queueLimit);
     if (admission.displaced) {
         if (Request* displaced = find(*admission.displaced))
-            settle(*displaced, { Outcome::NotRun, ErrorKind::QueueFull, nullptr }, RETRY_AFTER, context);
+            settle(*displaced, { Outcome::NotRun, ErrorKind::QueueFull, nullptr }, retryAfterOf(*displaced, RefusalCause::Full, context), context);
     }
     if (!admission.admitted)
-        return settle(request, { Outcome::NotRun, ErrorKind::QueueFull, nullptr }, RETRY_AFTER, context);
+        return settle(request, { Outcome::NotRun, ErrorKind::QueueFull, nullptr }, retryAfterOf(request, RefusalCause::Full, context), context);
     request.phase = Phase::Queued;
     pump(service, context);
 }
 
-std::optional<RequestFlow::Refusal> RequestFlow::refusalBeforeSend(const Request& request, Time now) const
+std::optional<RequestFlow::Refusal> RequestFlow::refusalBeforeSend(const Request& request, Context& context) const
 {
+    const Time now = context.now();
     if (now >= request.deadline)
         return Refusal { ErrorKind::DeadlinePassed, Outcome::NotRun, {} };
     if (m_parts.quarantine.stops(request.fingerprint, now))
         return Refusal { ErrorKind::RequestQuarantined, Outcome::NotRun, {} };
     if (!request.service->index || !m_parts.pool.hasUsable(*request.service->index))
-        return Refusal { ErrorKind::NoServer, Outcome::NotRun, RETRY_AFTER };
+        return Refusal { ErrorKind::NoServer, Outcome::NotRun, retryAfterOf(request, RefusalCause::NoServer, context) };
     return std::nullopt;
 }
 
@@ -67,9 +70,10 @@
     pick.excluded = { request.tried.data(), request.triedCount };
     const bool byCost = placedByCost(request);
     pick.trialAllowed = request.rule->kind == RequestKind::Idempotent || (byCost && !request.service->idempotentKnown);
-    if (byCost)
+    if (byCost) {
         pick.acceptableRisk = acceptableRisk(request, context.now());
-    else
+        pick.excess = excessOf(request, context.now());
+    } else
         pick.borrowAllowed = mayBorrow(request, context.now());
     Server* server = m_parts.pool.pick(*request.service->index, pick);
     if (!server)
@@ -87,6 +91,34 @@
     return std::min(atOnce + (1 - atOnce) * waited, 1.0);
 }
 
+// A request that has waited may join the queue of a server, so that no instance starves beside others.
+std::uint32_t RequestFlow::excessOf(const Request& request, Time now) const
+{
+    const Duration typical = request.service->usual.typical();
+    if (typical <= Duration {})
+        return 1;
+    return static_cast<std::uint32_t>((now - request.admittedAt) / typical);
+}
+
+Duration RequestFlow::expectedWait(const Service& service, Time now) const
+{
+    constexpr Duration window = std::chrono::seconds(1);
+    const Duration counted = window + std::clamp<Duration>(now - service.countedFrom, Duration {}, window);
+    const std::uint32_t sends = service.sends + service.sendsBefore;
+    // Too few to tell.
+    if (sends < 2)
+        return {};
+    return counted * static_cast<std::int64_t>(service.queue.size()) / sends;
+}
+
+Millis RequestFlow::retryAfterOf(const Request& request, RefusalCause cause, Context& context) const
+{
+    if (!placedByCost(request))
+        return RETRY_AFTER;
+    const Service& service = *request.service;
+    return retryAfter({ cause, service.usual.typical(), expectedWait(service, context.now()), request.deadline - context.now() }, context.random());
+}
+
 Time RequestFlow::queueEnd(const Request& request, Time now) const
 {
     if (!placedByCost(request))
@@ -114,10 +146,12 @@
     request.tried[request.triedCount++] = server.id;
     ++request.sendCount;
     ++request.unprovedCount;
-    request.active[request.activeCount++] = { id, server.id, context.now() };
+    request.active[request.activeCount++] = { id, server.id, context.now(), false, m_parts.pool.crowded(server) };
     m_tries.emplace(id, request.id);
     m_parts.pool.begin(server);
     const bool byCost = placedByCost(request);
+    if (byCost)
+        countSend(*request.service, context.now());
     if (!byCost)
         m_parts.evidence.trySent(id, server.id, context.now());
     else if (m_parts.pool.beliefs().dueForTrial(server.id, context.now()))
@@ -137,6 +171,17 @@
         m_timers.push({ context.now() + bound, request.id, TimerKind::Slow });
 }
 
+void RequestFlow::countSend(Service& service, Time now)
+{
+    constexpr Duration window = std::chrono::seconds(1);
+    if (now - service.countedFrom >= window) {
+        service.sendsBefore = now - service.countedFrom < 2 * window ? service.sends : 0;
+        service.sends = 0;
+        service.countedFrom = now;
+    }
+    ++service.sends;
+}
+
 void RequestFlow::pump(Service& service, Context& context)
 {
     while (const auto next = service.queue.front()) {
@@ -145,7 +190,7 @@
             service.queue.popFront();
             continue;
         }
-        if (const auto refusal = refusalBeforeSend(*request, context.now())) {
+        if (const auto refusal = refusalBeforeSend(*request, context)) {
             service.queue.popFront();
             settle(*request, { refusal->outcome, refusal->error, nullptr }, refusal->retryAfter, context);
             continue;
@@ -166,7 +211,8 @@
             continue;
         active.slow = true;
         anySlow = true;
-        observe(request, active, Observation::Slow, context);
+        if (!active.crowded)
+            observe(request, active, Observation::Slow, context);
     }
     if (anySlow && request.rule->kind == RequestKind::Idempotent && request.rule->tries > 1)
         hedge(request, context);
@@ -292,7 +338,7 @@
     if (request.activeCount || retry(request, context))
         return;
     const Outcome outcome = request.unprovedCount ? Outcome::Unknown : Outcome::NotRun;
-    settle(request, { outcome, ErrorKind::ServerShed, nullptr }, RETRY_AFTER, context);
+    settle(request, { outcome, ErrorKind::ServerShed, nullptr }, retryAfterOf(request, RefusalCause::Shed, context), context);
 }
 
 void RequestFlow::onNotSent(Request& request, const ActiveTry& ended, const TryFinished&, Context& context)
@@ -304,7 +350,7 @@
         if (request.activeCount || resend(request, false, context))
             return;
         const Outcome proved = request.unprovedCount ? Outcome::Unknown : Outcome::NotRun;
-        return settle(request, { proved, ErrorKind::ServerUnreachable, nullptr }, RETRY_AFTER, context);
+        return settle(request, { proved, ErrorKind::ServerUnreachable, nullptr }, retryAfterOf(request, RefusalCause::Unreachable, context), context);
     }
     if (request.activeCount || retry(request, context))
         return;
@@ -355,7 +401,7 @@
 {
     // Slowness was counted while the send was pending.
     m_parts.evidence.tryEnded(ended.id, Evidence::None, context.now());
-    if (placedByCost(request) && !ended.slow)
+    if (placedByCost(request) && !ended.slow && !ended.crowded)
         observe(request, ended, Observation::Slow, context);
     if (request.activeCount || retry(request, context))
         return;
--- a/src/decision/selector.cpp
+++ b/src/decision/selector.cpp
@@ -86,9 +86,9 @@
     double cost = input.risk;
     if (!input.sameZone)
         cost += OTHER_ZONE_COST;
-    if (input.inFlight >= input.ownSlots)
+    if (input.own >= input.ownSlots)
         cost += BORROWED_SLOT_COST;
-    cost += FULL_SERVER_COST * input.inFlight / std::max<std::uint32_t>(input.slots, 1);
+    cost += FULL_SERVER_COST * input.total / std::max<std::uint32_t>(input.slots, 1);
     return cost + TIE_BREAK * static_cast<double>(random >> HALF_BITS) / 4294967296.0;
 }
 
--- a/src/decision/server_pool.cpp
+++ b/src/decision/server_pool.cpp
@@ -91,7 +91,10 @@
         const bool due = m_beliefs.dueForTrial(server->id, context.now);
         if (due && context.trialAllowed && !server->inFlight)
             return server;
-        const PlacementInput input { m_beliefs.sick(server->id, context.now), server->config.zone == m_zone, server->inFlight, server->ownSlots, server->config.slots.value() };
+        const std::uint32_t total = server->inFlight + m_loads.others(server->id);
+        if (total >= server->config.slots.value() + context.excess)
+            continue;
+        const PlacementInput input { m_beliefs.sick(server->id, context.now), server->config.zone == m_zone, total, server->inFlight, server->ownSlots, server->config.slots.value() };
         if (input.risk > std::max(context.acceptableRisk, lowestRisk + context.acceptableRisk / 2))
             continue;
         random = random * 6364136223846793005ULL + 1442695040888963407ULL;
@@ -104,6 +107,16 @@
     return best;
 }
 
+std::vector<ServerLoad> ServerPool::ownLoads() const
+{
+    std::vector<ServerLoad> loads;
+    for (const auto& [id, server] : m_servers) {
+        if (server.inFlight)
+            loads.push_back({ id, server.inFlight });
+    }
+    return loads;
+}
+
 Server* ServerPool::pickBySlots(std::uint32_t service, const PickContext& context)
 {
     m_candidates.clear();
--- a/src/shell/server_side.cpp
+++ b/src/shell/server_side.cpp
@@ -9,6 +9,8 @@
 namespace {
 
     constexpr std::uint16_t FIRST_REDIRECTION = 300;
+    // Many round trips between zones; a request whose connection takes longer goes elsewhere.
+    constexpr Millis CONNECT_TIME { 150 };
     constexpr std::size_t MAX_PROBE_ANSWER = 16 * 1024;
 
     constexpr std::array resultNames { "answered", "shed", "not-sent", "crashed", "stale-connection", "broken", "too-large", "timed-out", "cancelled" };
@@ -64,6 +66,7 @@
     if (m_dialect.fleetHeaders)
         call.headers.push_back({ "traceparent", span.context.header() });
     addEcho(request, span, call);
+    call.connectTime = CONNECT_TIME;
     call.allowUnsized = m_dialect.unsizedAnswers;
     call.body = request.body;
     call.deadline = effect.deadline;
