--- /dev/null
+++ b/tests/platform_test.cpp
@@ -0,0 +1,336 @@
+// The adapter of the users' platform, and the follower of a store with a history.
+#include "platform/adapter.h"
+#include "platform/values.h"
+#include "cornelwind/router.h"
+#include "request_store.h"
+#include "store_follower.h"
+
+#include <catch2/catch.hpp>
+
+#include <deque>
+#include <set>
+#include <string>
+#include <vector>
+
+using namespace cornelwind;
+
+namespace {
+
+std::string configuration(const std::string& routes, const std::string& version = "\"0000000c\"")
+{
+    return R"({"version":)" + version + R"(,"routes":{)" + routes + R"(},"services":{"s":{"maxConnections":77},"t":{}},"limits":{"maxBodyBytes":1000},"extra":1})";
+}
+
+const std::string ROUTE = R"("r":{"host":"A.example","prefix":"/x/","kind":"unsafe","timeoutS":2.5,"targetLatencyS":1.2,"priority":1,"service":"t","attempts":2})";
+const std::string SPLIT = R"("q":{"host":"a.example","prefix":"/y/","kind":"safe","timeoutS":2,"priority":40,"attempts":3,"trafficSplit":[{"service":"s","weight":9},{"service":"t","weight":1}]})";
+
+/// A store that answers from a script.
+class ScriptedStore final : public PublishedStore {
+public:
+    struct Call {
+        std::string what;
+        Handler handler;
+    };
+
+    explicit ScriptedStore(std::deque<Call>& calls)
+        : m_calls(calls)
+    {
+    }
+
+    CallId readSheet(Handler handler) override { return add("sheet", std::move(handler)); }
+    CallId readServers(const std::string& page, Handler handler) override { return add("servers " + page, std::move(handler)); }
+    CallId watch(StoreRevision after, Millis, Handler handler) override { return add("watch " + std::to_string(after.value()), std::move(handler)); }
+    void cancel(CallId) override { }
+
+private:
+    CallId add(std::string what, Handler handler)
+    {
+        m_calls.push_back({ std::move(what), std::move(handler) });
+        return ++m_last;
+    }
+
+    std::deque<Call>& m_calls;
+    CallId m_last = 0;
+};
+
+/// A follower before a scripted store.
+class Following {
+public:
+    Following()
+        : m_follower(m_io, std::make_unique<ScriptedStore>(m_calls), [this](EventBody body) { events.push_back(std::move(body)); })
+    {
+        m_follower.start();
+    }
+
+    /// Answers the call that waits longest and returns what it asked for.
+    std::string answer(StoreReply reply)
+    {
+        run(1);
+        if (m_calls.empty())
+            run(1500);
+        REQUIRE_FALSE(m_calls.empty());
+        const ScriptedStore::Call call = std::move(m_calls.front());
+        m_calls.pop_front();
+        call.handler(std::move(reply));
+        return call.what;
+    }
+
+    void run(int millis)
+    {
+        m_io.restart();
+        m_io.run_for(std::chrono::milliseconds(millis));
+    }
+
+    template <typename Event>
+    int count() const
+    {
+        int found = 0;
+        for (const EventBody& event : events)
+            found += std::holds_alternative<Event>(event);
+        return found;
+    }
+
+    StoreFollower& follower() { return m_follower; }
+    std::size_t waiting() const { return m_calls.size(); }
+
+    std::vector<EventBody> events;
+
+private:
+    boost::asio::io_context m_io;
+    std::deque<ScriptedStore::Call> m_calls;
+    StoreFollower m_follower;
+};
+
+StoreReply ok(std::uint64_t revision, std::vector<PublishedChange> changes = {}, const std::string& next = {})
+{
+    return { StoreStatus::Ok, std::move(changes), StoreRevision { revision }, next };
+}
+
+PublishedChange change(std::uint64_t revision, const std::string& name)
+{
+    PublishedServer server;
+    server.name = ServerName { name };
+    return { StoreRevision { revision }, {}, ServerChange { server.name, server } };
+}
+
+PublishedChange sheetChange(std::uint64_t revision)
+{
+    return { StoreRevision { revision }, "text", {} };
+}
+
+} // namespace
+
+TEST_CASE("A configuration becomes a sheet of our own")
+{
+    Reasons reasons;
+    const auto sheet = platform::readConfiguration(configuration(ROUTE + "," + SPLIT), 20, reasons);
+    REQUIRE(sheet);
+    CHECK(sheet->version == SheetVersion { 12 });
+    REQUIRE(sheet->services.size() == 2);
+    CHECK(sheet->services[0].connections == 77);
+    CHECK(sheet->services[0].retryPercent == 20);
+    CHECK(sheet->services[0].shedStatus == 0);
+    REQUIRE(sheet->rules.size() == 2);
+    const SheetRule& rule = sheet->rules[0];
+    CHECK(rule.host == "a.example");
+    CHECK(rule.kind == RequestKind::AtMostOnce);
+    CHECK(rule.connection == ConnectionUse::Fresh);
+    CHECK(rule.timeLimit == Millis { 2500 });
+    CHECK(rule.objective == Millis { 1200 });
+    CHECK(rule.service == 1);
+    CHECK(rule.maxBody == ByteCount { 1000 });
+    const SheetRule& split = sheet->rules[1];
+    CHECK(split.kind == RequestKind::Idempotent);
+    CHECK(split.tries == 3);
+    CHECK(split.priority == 9);
+    REQUIRE(split.split.size() == 2);
+    CHECK(split.split[0].weight == 9);
+    CHECK(split.split[1].service == 1);
+}
+
+TEST_CASE("A configuration that is not whole is refused with its reason")
+{
+    struct Row {
+        std::string text;
+        ErrorKind kind;
+    };
+    const Row rows[] = {
+        { "{", ErrorKind::SyntaxError },
+        { "[]", ErrorKind::SyntaxError },
+        { "{}", ErrorKind::MissingValue },
+        { configuration(ROUTE, "12"), ErrorKind::MissingValue },
+        { configuration(ROUTE, "\"xyz\""), ErrorKind::WrongType },
+        { configuration(R"("r":{"prefix":"/x/","kind":"safe","service":"s"})"), ErrorKind::MissingValue },
+        { configuration(R"("r":{"host":"a","prefix":"/x/","kind":"safe","service":"none"})"), ErrorKind::UnknownService },
+        { configuration(R"("r":{"host":"a","prefix":"/x/","kind":"safe"})"), ErrorKind::UnknownService },
+    };
+    for (const Row& row : rows) {
+        CAPTURE(row.text);
+        Reasons reasons;
+        CHECK_FALSE(platform::readConfiguration(row.text, 10, reasons));
+        REQUIRE_FALSE(reasons.empty());
+        CHECK(reasons.front().kind == row.kind);
+    }
+}
+
+TEST_CASE("An entry names a server only if all of it can be read")
+{
+    struct Row {
+        std::string text;
+        bool names;
+    };
+    const std::string good = R"("service":"s","address":"10.0.0.1:80","zone":"z","slots":4)";
+    const Row rows[] = {
+        { "{" + good + R"(,"state":"ready","warmupLeftS":2.5,"born":5})", true },
+        { "{" + good + R"(,"state":"draining"})", true },
+        { "{" + good + R"(,"state":"odd"})", false },
+        { "{" + good + "}", false },
+        { R"({"service":"s","address":"nowhere","zone":"z","slots":4,"state":"ready"})", false },
+        { R"({"service":"s","address":"10.0.0.1:80","zone":"z","slots":"4","state":"ready"})", false },
+        { R"({"service":5,"address":"10.0.0.1:80","zone":"z","slots":4,"state":"ready"})", false },
+        { "\xff\x01", false },
+        { "", false },
+    };
+    for (const Row& row : rows) {
+        CAPTURE(row.text);
+        CHECK(platform::readServer(ServerName { "i" }, row.text).has_value() == row.names);
+    }
+    const auto server = platform::readServer(ServerName { "i" }, rows[0].text);
+    CHECK(server->warmup == Millis { 2500 });
+    CHECK(server->incarnation == 5);
+    CHECK_FALSE(server->leaving);
+    CHECK(platform::readServer(ServerName { "i" }, rows[1].text)->leaving);
+}
+
+TEST_CASE("The longest prefix of the host wins, and its slash must be there")
+{
+    Reasons reasons;
+    const std::string routes = R"("a":{"host":"h.example","prefix":"/x/","kind":"safe","service":"s"},)"
+                               R"("b":{"host":"h.example","prefix":"/x/y/","kind":"safe","service":"s"},)"
+                               R"("c":{"host":"other.example","prefix":"/x/","kind":"safe","service":"s"})";
+    const auto sheet = platform::readConfiguration(configuration(routes), 10, reasons);
+    REQUIRE(sheet);
+    const Router router(*sheet);
+    struct Row {
+        const char* host;
+        const char* target;
+        const char* rule;
+    };
+    const Row rows[] = {
+        { "h.example", "/x/", "a" },
+        { "h.example", "/x/1?q=/y/", "a" },
+        { "h.example", "/x/y/1", "b" },
+        { "h.example", "/x/y", "a" },
+        { "h.example", "/x", nullptr },
+        { "h.example", "/xx/", nullptr },
+        { "H.EXAMPLE:80", "/x/1", "a" },
+        { "other.example", "/x/y/1", "c" },
+        { "third.example", "/x/y/1", nullptr },
+        { "", "/x/y/1", nullptr },
+    };
+    for (const Row& row : rows) {
+        CAPTURE(row.host, row.target);
+        const auto rule = router.match("GET", row.target, row.host);
+        REQUIRE(rule.has_value() == (row.rule != nullptr));
+        if (rule)
+            CHECK(sheet->rules[*rule].name == row.rule);
+    }
+}
+
+TEST_CASE("Limits are taken over by name, and a faulty one is reported")
+{
+    Settings settings;
+    settings.platformLimits = { "graceS=6", "retryBudgetRatio=0.2", "budgetSlack=58", "unknown=x" };
+    Reasons reasons;
+    CHECK(platform::applyLimits(settings, reasons));
+    CHECK(settings.stopTime == Millis { 5600 });
+    CHECK(settings.retryPercent == 20);
+    CHECK(settings.fleetRetryAllowance == 58);
+    settings.platformLimits = { "graceS=soon" };
+    CHECK_FALSE(platform::applyLimits(settings, reasons));
+    CHECK(reasons.front().detail == "graceS=soon");
+}
+
+TEST_CASE("Where the status alone tells the outcome, it promises nothing that is not known")
+{
+    const Dialect dialect = platform::makeDialect();
+    const std::set<int> promises { 408, 421, 429, 503 };
+    for (const ErrorInfo& info : allErrors()) {
+        if (!info.status)
+            continue;
+        CAPTURE(info.name);
+        CHECK_FALSE(promises.contains(makeRefusal(info.kind, Outcome::Unknown, {}, {}, dialect).status));
+        const int notRun = makeRefusal(info.kind, Outcome::NotRun, {}, {}, dialect).status;
+        CHECK(notRun != 502);
+        CHECK(notRun != 504);
+    }
+    const Answer refusal = makeRefusal(ErrorKind::QueueFull, Outcome::NotRun, Millis { 50 }, "key", dialect);
+    CHECK(refusal.headers.back().value == "0.050");
+}
+
+TEST_CASE("The follower reads all, then waits from the revision it has seen")
+{
+    Following following;
+    CHECK(following.answer(ok(10, { sheetChange(4) })) == "sheet");
+    CHECK(following.answer(ok(11, { change(5, "a") }, "servers/a")) == "servers ");
+    CHECK(following.answer(ok(14, { change(6, "b") })) == "servers servers/a");
+    REQUIRE(following.count<ServersPublished>() == 1);
+    const auto& list = std::get<ServersPublished>(following.events.back());
+    CHECK(list.complete);
+    CHECK(list.changes.size() == 2);
+    CHECK(list.revision == StoreRevision { 11 });
+    // Changes between the reads are found because the watch begins before them.
+    CHECK(following.answer(ok(15, { change(12, "c"), sheetChange(15) })) == "watch 10");
+    CHECK(following.count<SheetFetched>() == 2);
+    CHECK(following.answer(ok(15)) == "watch 15");
+    CHECK(following.count<PlatformReached>() == 1);
+}
+
+TEST_CASE("The follower resumes after every kind of failure")
+{
+    struct Row {
+        StoreStatus status;
+        const char* next;
+    };
+    const Row rows[] = {
+        { StoreStatus::Lost, "watch 10" },
+        { StoreStatus::Refused, "watch 10" },
+        { StoreStatus::HistoryGone, "sheet" },
+    };
+    for (const Row& row : rows) {
+        CAPTURE(toString(row.status));
+        Following following;
+        following.answer(ok(10));
+        following.answer(ok(10));
+        StoreReply failure;
+        failure.status = row.status;
+        CHECK(following.answer(failure) == "watch 10");
+        CHECK(following.answer(ok(11)) == row.next);
+    }
+}
+
+TEST_CASE("One lost call is no outage; two in a row are")
+{
+    Following following;
+    following.answer(ok(10));
+    following.answer(ok(10));
+    following.answer({});
+    CHECK(following.count<PlatformLost>() == 0);
+    following.answer({});
+    CHECK(following.count<PlatformLost>() == 1);
+    following.answer(ok(10));
+    CHECK(following.count<PlatformReached>() == 1);
+}
+
+TEST_CASE("A refresh replaces a call that waits, whose late answer is ignored")
+{
+    Following following;
+    following.answer(ok(10));
+    following.answer(ok(10));
+    following.follower().refresh();
+    CHECK(following.waiting() == 2);
+    following.answer({});
+    CHECK(following.waiting() == 1);
+    CHECK(following.count<PlatformLost>() == 0);
+    CHECK(following.answer(ok(12, { change(12, "a") })) == "watch 10");
+}
