Write structured logs to standard output: one line for each decision about a request or a belief

Cause: the logs went to standard error as sentences; a request's id was in none of them, and a slow reader of the pipe would have blocked the process.

Ruled out: log4cxx's asynchronous appender, which wakes a thread for each line and waits at the end for a reader that may have stopped.

--- a/fuzz/fleet_fuzz.cpp
+++ b/fuzz/fleet_fuzz.cpp
@@ -273,6 +273,7 @@
 
     void on(std::size_t, const CancelTry&) { }
     void on(std::size_t, const RefreshPublished&) { }
+    void on(std::size_t, const RecordRequest&) { }
 
     void on(std::size_t index, const ForwardToOwner& effect)
     {
--- a/include/cornelwind/effect.h
+++ b/include/cornelwind/effect.h
@@ -3,6 +3,7 @@
 #include "cornelwind/answer.h"
 #include "cornelwind/decision.h"
 #include "cornelwind/error.h"
+#include "cornelwind/request_record.h"
 #include "cornelwind/sheet.h"
 #include "cornelwind/types.h"
 
@@ -115,6 +116,11 @@
     Decision decision;
 };
 
+/// Something was decided about a request; log and count it.
+struct RecordRequest {
+    RequestRecord record;
+};
+
 /// The instance starts or ceases to be ready for callers.
 struct SetReady {
     bool ready;
@@ -125,7 +131,7 @@
 };
 
 using Effect = std::variant<ReadBody, SendTry, CancelTry, ForwardToOwner, RelayAnswer, Refuse, ReleaseRequest, GiveKeys, SendPeer, SendProbe,
-    WatchPlatform, RefreshPublished, Report, SetReady, Stopped>;
+    WatchPlatform, RefreshPublished, Report, RecordRequest, SetReady, Stopped>;
 using EffectList = std::vector<Effect>;
 
 } // namespace cornelwind
--- a/src/decision/request_flow.cpp
+++ b/src/decision/request_flow.cpp
@@ -255,10 +255,18 @@
         nextKey = m_parts.keys.mint(context.now());
     if (result.answer) {
         ++m_counters.relayed;
+        RequestRecord record = makeRecord(request, RequestStep::Answered, context.now());
+        record.status = result.answer->status;
+        context.emit(RecordRequest { std::move(record) });
         return context.emit(RelayAnswer { request.id, result.answer, std::move(nextKey) });
     }
     ++m_counters.refused;
     const ErrorKind error = result.error == ErrorKind::None ? ErrorKind::AnswerNotHeld : result.error;
+    RequestRecord record = makeRecord(request, RequestStep::Refused, context.now());
+    record.error = error;
+    record.outcome = result.outcome;
+    record.retryAfter = retryAfter;
+    context.emit(RecordRequest { std::move(record) });
     context.emit(Refuse { request.id, error, result.outcome, retryAfter, std::move(nextKey) });
     context.report(DecisionKind::Refused, request.service ? request.service->name.value() : std::string("unrouted"),
         describe(error).name, std::string("outcome ") + toString(result.outcome));
@@ -275,8 +283,12 @@
 
 void RequestFlow::onCallerGone(const CallerGone& event, Context& context)
 {
-    if (Request* request = find(event.request))
-        detach(*request, context);
+    Request* request = find(event.request);
+    if (!request)
+        return;
+    if (!request->answered)
+        context.emit(RecordRequest { makeRecord(*request, RequestStep::Abandoned, context.now()) });
+    detach(*request, context);
 }
 
 // Ends what a request holds because nobody waits for its answer any more.
--- a/src/decision/request_flow.h
+++ b/src/decision/request_flow.h
@@ -186,6 +186,7 @@
     void pump(Service& service, Context& context);
     bool retry(Request& request, Context& context);
     bool resend(Request& request, bool arrived, Context& context);
+    const char* reasonAgainstResend(Request& request, bool arrived, Context& context) const;
     bool placedByCost(const Request& request) const { return request.service->config.placement == Placement::ExpectedCost; }
     double acceptableRisk(const Request& request, Time now) const;
     std::uint32_t excessOf(const Request& request, Time now) const;
@@ -208,6 +209,12 @@
     void onTimedOut(Request&, const ActiveTry&, const TryFinished&, Context&);
     void onCancelled(Request&, const ActiveTry&, const TryFinished&, Context&);
 
+    // Records.
+    RequestRecord makeRecord(const Request& request, RequestStep step, Time now) const;
+    void recordPlaced(const Request& request, const Server& server, Context& context) const;
+    void recordSendFailed(const Request& request, const ActiveTry& ended, const TryFinished& event, Context& context) const;
+    void recordNotSentAgain(const Request& request, const char* reason, Context& context) const;
+
     // Results.
     void settle(Request& request, const KeyResult& result, std::optional<Millis> retryAfter, Context& context);
     void refuse(Request& request, const Refusal& refusal, Context& context);
--- /dev/null
+++ b/src/decision/request_record.cpp
@@ -0,0 +1,13 @@
+#include "cornelwind/request_record.h"
+
+#include <array>
+
+namespace cornelwind {
+
+const char* toString(RequestStep step)
+{
+    static constexpr std::array<const char*, REQUEST_STEPS> names { "placed", "waiting", "send-failed", "not-sent-again", "answered", "refused", "abandoned" };
+    return names.at(static_cast<std::size_t>(step));
+}
+
+} // namespace cornelwind
--- /dev/null
+++ b/src/decision/request_records.cpp
@@ -0,0 +1,57 @@
+// The part of the request flow that says what was decided and why.
+#include "request_flow.h"
+
+#include <array>
+
+namespace cornelwind {
+namespace {
+
+    constexpr std::array resultNames { "answered", "shed", "not-sent", "crashed", "stale-connection", "broken", "too-large", "timed-out", "cancelled" };
+
+} // namespace
+
+RequestRecord RequestFlow::makeRecord(const Request& request, RequestStep step, Time now) const
+{
+    RequestRecord record;
+    record.step = step;
+    record.label = request.label;
+    if (request.service)
+        record.service = request.service->name.value();
+    if (request.sheet)
+        record.sheet = request.sheet->version;
+    record.sends = request.sendCount;
+    if (request.admittedAt > Time {})
+        record.age = now - request.admittedAt;
+    return record;
+}
+
+void RequestFlow::recordPlaced(const Request& request, const Server& server, Context& context) const
+{
+    RequestRecord record = makeRecord(request, RequestStep::Placed, context.now());
+    record.server = server.config.name.value();
+    record.risk = m_parts.pool.beliefs().sick(server.id, context.now());
+    record.inFlight = server.inFlight;
+    record.others = m_parts.pool.loads().others(server.id);
+    record.slots = server.config.slots.value();
+    context.emit(RecordRequest { std::move(record) });
+}
+
+void RequestFlow::recordSendFailed(const Request& request, const ActiveTry& ended, const TryFinished& event, Context& context) const
+{
+    RequestRecord record = makeRecord(request, RequestStep::SendFailed, context.now());
+    if (const Server* server = m_parts.pool.find(ended.server))
+        record.server = server->config.name.value();
+    record.result = resultNames.at(static_cast<std::size_t>(event.result));
+    record.elapsed = context.now() - ended.sentAt;
+    record.status = event.answer ? event.answer->status : 0;
+    context.emit(RecordRequest { std::move(record) });
+}
+
+void RequestFlow::recordNotSentAgain(const Request& request, const char* reason, Context& context) const
+{
+    RequestRecord record = makeRecord(request, RequestStep::NotSentAgain, context.now());
+    record.reason = reason;
+    context.emit(RecordRequest { std::move(record) });
+}
+
+} // namespace cornelwind
--- a/src/decision/request_sends.cpp
+++ b/src/decision/request_sends.cpp
@@ -45,6 +45,10 @@
     if (!admission.admitted)
         return settle(request, { Outcome::NotRun, ErrorKind::QueueFull, nullptr }, retryAfterOf(request, RefusalCause::Full, context), context);
     request.phase = Phase::Queued;
+    RequestRecord record = makeRecord(request, RequestStep::Waiting, context.now());
+    record.queued = static_cast<std::uint32_t>(service.queue.size());
+    record.expectedWait = expectedWait(service, context.now());
+    context.emit(RecordRequest { std::move(record) });
     pump(service, context);
 }
 
@@ -148,6 +152,7 @@
     ++request.unprovedCount;
     request.active[request.activeCount++] = { id, server.id, context.now(), false, m_parts.pool.crowded(server) };
     m_tries.emplace(id, request.id);
+    recordPlaced(request, server, context);
     m_parts.pool.begin(server);
     const bool byCost = placedByCost(request);
     if (byCost)
@@ -226,21 +231,37 @@
 // Sends a request again whose earlier sends are proved not to have run, or which is idempotent.
 bool RequestFlow::resend(Request& request, bool arrived, Context& context)
 {
-    const bool idempotent = request.rule->kind == RequestKind::Idempotent;
-    const std::uint32_t limit = idempotent ? request.rule->tries : 1;
-    if (request.answered || request.unprovedCount >= limit || context.now() + MIN_TRY_TIME >= request.deadline)
-        return false;
-    if (request.rule->tries < 2 || m_parts.quarantine.stops(request.fingerprint, context.now()))
+    if (request.answered)
         return false;
-    // A send that never arrived adds no load.
-    if (arrived && !request.service->budget.withdraw())
+    if (const char* reason = reasonAgainstResend(request, arrived, context)) {
+        recordNotSentAgain(request, reason, context);
         return false;
-    if (!trySend(request, context))
+    }
+    if (!trySend(request, context)) {
+        recordNotSentAgain(request, "no other server has room", context);
         return false;
+    }
     ++m_counters.retries;
     return true;
 }
 
+const char* RequestFlow::reasonAgainstResend(Request& request, bool arrived, Context& context) const
+{
+    const bool idempotent = request.rule->kind == RequestKind::Idempotent;
+    if (!idempotent && request.unprovedCount)
+        return "it may have run and is not idempotent";
+    if (request.rule->tries < 2 || (idempotent && request.unprovedCount >= request.rule->tries))
+        return "its tries are used up";
+    if (context.now() + MIN_TRY_TIME >= request.deadline)
+        return "too little time is left";
+    if (m_parts.quarantine.stops(request.fingerprint, context.now()))
+        return "it crashes servers";
+    // A send that never arrived adds no load.
+    if (arrived && !request.service->budget.withdraw())
+        return "the retry budget is used up";
+    return nullptr;
+}
+
 bool RequestFlow::retry(Request& request, Context& context)
 {
     if (placedByCost(request))
@@ -299,6 +320,8 @@
     m_parts.pool.end(ended.server);
     if (event.leaving)
         m_parts.leaving(ended.server, context);
+    if (event.result != TryResult::Answered || isServerError(*event.answer))
+        recordSendFailed(request, ended, event, context);
 
     const ServicePtr service = request.service;
     (this->*handlerOf(event.result))(request, ended, event, context);
--- a/src/shell/instance.cpp
+++ b/src/shell/instance.cpp
@@ -38,14 +38,14 @@
         }
     }
 
-    std::string sentenceOf(const Decision& decision)
+    std::string fieldsOf(const Decision& decision)
     {
-        std::string sentence = std::string(toString(decision.kind)) + " " + escapeForLog(decision.subject) + ": " + escapeForLog(decision.evidence);
+        std::string fields = " subject=\"" + escapeForLog(decision.subject) + "\" evidence=\"" + escapeForLog(decision.evidence) + "\"";
         if (!decision.bound.empty())
-            sentence += "; " + escapeForLog(decision.bound);
+            fields += " bound=\"" + escapeForLog(decision.bound) + "\"";
         if (decision.lasts > Duration {})
-            sentence += "; for " + std::to_string(std::chrono::duration_cast<Millis>(decision.lasts).count()) + " ms";
-        return sentence + ".";
+            fields += " lasts_ms=" + std::to_string(std::chrono::duration_cast<Millis>(decision.lasts).count());
+        return fields;
     }
 
 } // namespace
@@ -179,7 +179,7 @@
 void Instance::on(const Report& effect)
 {
     ++m_figures.decisions.at(static_cast<std::size_t>(effect.decision.kind));
-    logLine(levelOf(effect.decision.kind), LogPart::Decision, sentenceOf(effect.decision));
+    logEvent(levelOf(effect.decision.kind), LogPart::Decision, toString(effect.decision.kind), fieldsOf(effect.decision));
 }
 
 void Instance::on(const SetReady& effect)
@@ -203,6 +203,7 @@
 {
     if (!m_callerServer.connections() || steadyNow() >= until) {
         logLine(LogLevel::Info, LogPart::Main, "Stopped.");
+        flushLog();
         return m_io.stop();
     }
     m_closer.expires_after(TICK_INTERVAL);
@@ -213,6 +214,7 @@
 {
     apply(Tick {});
     maintain();
+    flushLog();
     m_ticker.expires_after(TICK_INTERVAL);
     m_ticker.async_wait([this](boost::system::error_code error) {
         if (!error)
@@ -227,6 +229,7 @@
         return;
     m_nextMaintenance = now + MAINTENANCE_INTERVAL;
     m_tracer.flush();
+    m_requestLog.reportSuppressed();
     m_client.closeIdle();
     m_peerSide.link().closeUnused(now);
 }
@@ -260,7 +263,7 @@
     return {
         [this] { return m_reducer.status(steadyNow()); },
         [this](const std::string& subject) { return m_reducer.explain(subject, MAX_EXPLAINED); },
-        [this] { return renderMetrics(m_reducer.status(steadyNow()), m_reducer.counters(), figures()); },
+        [this] { return renderMetrics(m_reducer.status(steadyNow()), m_reducer.counters(), figures(), m_requestLog.metrics()); },
         [this] { apply(StopRequested {}); },
         [] { return steadyNow(); },
     };
@@ -275,6 +278,7 @@
     figures.controlBytesSent = m_peerSide.controlBytes();
     figures.platformCalls = m_platform ? m_platform->calls() : 0;
     figures.spansDropped = m_tracer.dropped();
+    figures.logLinesDropped = droppedLogLines();
     return figures;
 }
 
--- a/src/shell/instance.h
+++ b/src/shell/instance.h
@@ -11,6 +11,7 @@
 #include "metrics.h"
 #include "peer_side.h"
 #include "published_source.h"
+#include "request_log.h"
 #include "request_store.h"
 #include "server_side.h"
 #include "trace.h"
@@ -66,6 +67,7 @@
     void on(const WatchPlatform& effect);
     void on(const RefreshPublished& effect);
     void on(const Report& effect);
+    void on(const RecordRequest& effect) { m_requestLog.add(effect.record, steadyNow()); }
     void on(const SetReady& effect);
     void on(const Stopped& effect);
 
@@ -95,6 +97,7 @@
     HttpServer m_adminServer;
     std::optional<HttpServer> m_readinessServer;
     std::unique_ptr<PublishedSource> m_platform;
+    RequestLog m_requestLog;
     EffectList m_spareEffects;
     ShellFigures m_figures;
     Time m_nextMaintenance;
--- a/src/shell/log.cpp
+++ b/src/shell/log.cpp
@@ -1,18 +1,98 @@
 #include "log.h"
 
-#include <log4cxx/consoleappender.h>
+#include <log4cxx/appenderskeleton.h>
 #include <log4cxx/level.h>
 #include <log4cxx/logger.h>
 #include <log4cxx/logmanager.h>
-#include <log4cxx/mdc.h>
 #include <log4cxx/patternlayout.h>
 
+#include <poll.h>
+#include <unistd.h>
+
+#include <algorithm>
 #include <array>
+#include <mutex>
+#include <utility>
 
 namespace cornelwind {
 namespace {
 
-    constexpr std::array partNames { "main", "caller", "server", "peer", "platform", "decision", "admin" };
+    constexpr std::array partNames { "main", "caller", "server", "peer", "platform", "decision", "admin", "request" };
+    // A pipe that is ready to be written takes this much at once (POSIX).
+    constexpr std::size_t WRITE_BYTES = 4096;
+
+    /// Lines that wait to be written.
+    class LogQueue {
+    public:
+        void push(const std::string& line)
+        {
+            const std::lock_guard lock(m_mutex);
+            if (m_bytes.size() - m_written + line.size() > MAX_QUEUED_LOG_BYTES) {
+                ++m_dropped;
+                return;
+            }
+            m_bytes += line;
+        }
+
+        void flush()
+        {
+            const std::lock_guard lock(m_mutex);
+            while (m_written < m_bytes.size() && isReady()) {
+                const std::size_t size = std::min(WRITE_BYTES, m_bytes.size() - m_written);
+                const ssize_t written = ::write(STDOUT_FILENO, m_bytes.data() + m_written, size);
+                if (written <= 0)
+                    break;
+                m_written += static_cast<std::size_t>(written);
+            }
+            m_bytes.erase(0, m_written);
+            m_written = 0;
+        }
+
+        std::uint64_t dropped()
+        {
+            const std::lock_guard lock(m_mutex);
+            return m_dropped;
+        }
+
+    private:
+        static bool isReady()
+        {
+            pollfd output { STDOUT_FILENO, POLLOUT, 0 };
+            return ::poll(&output, 1, 0) == 1 && (output.revents & POLLOUT);
+        }
+
+        std::mutex m_mutex;
+        std::string m_bytes;
+        std::size_t m_written = 0;
+        std::uint64_t m_dropped = 0;
+    };
+
+    LogQueue& queue()
+    {
+        static LogQueue instance;
+        return instance;
+    }
+
+    class QueueAppender final : public log4cxx::AppenderSkeleton {
+    public:
+        explicit QueueAppender(log4cxx::LayoutPtr layout)
+            : m_lineLayout(std::move(layout))
+        {
+        }
+
+        void append(const log4cxx::spi::LoggingEventPtr& event, log4cxx::helpers::Pool& pool) override
+        {
+            log4cxx::LogString line;
+            m_lineLayout->format(line, event, pool);
+            queue().push(line);
+        }
+
+        void close() override { }
+        bool requiresLayout() const override { return false; }
+
+    private:
+        log4cxx::LayoutPtr m_lineLayout;
+    };
 
     log4cxx::LevelPtr levelOf(LogLevel level)
     {
@@ -29,25 +109,47 @@
         return log4cxx::Level::getInfo();
     }
 
+    void write(LogLevel level, LogPart part, const std::string& fields)
+    {
+        static std::array<log4cxx::LoggerPtr, partNames.size()> loggers;
+        log4cxx::LoggerPtr& logger = loggers.at(static_cast<std::size_t>(part));
+        if (!logger)
+            logger = log4cxx::Logger::getLogger(partNames.at(static_cast<std::size_t>(part)));
+        const auto log4cxxLevel = levelOf(level);
+        if (logger->isEnabledFor(log4cxxLevel))
+            logger->forcedLog(log4cxxLevel, fields);
+    }
+
 } // namespace
 
 void startLog(const std::string& instance, const std::string& level)
 {
     const log4cxx::LogString pattern = "time=%d{yyyy-MM-ddTHH:mm:ss.SSS} level=%p instance=" + instance + " part=%c %m%n";
     const auto layout = std::make_shared<log4cxx::PatternLayout>(pattern);
-    const auto appender = std::make_shared<log4cxx::ConsoleAppender>(layout, log4cxx::ConsoleAppender::getSystemErr());
     const auto root = log4cxx::Logger::getRootLogger();
     root->removeAllAppenders();
-    root->addAppender(appender);
+    root->addAppender(std::make_shared<QueueAppender>(layout));
     root->setLevel(log4cxx::Level::toLevel(level, log4cxx::Level::getInfo()));
 }
 
 void logLine(LogLevel level, LogPart part, const std::string& sentence)
 {
-    const auto logger = log4cxx::Logger::getLogger(partNames.at(static_cast<std::size_t>(part)));
-    const auto log4cxxLevel = levelOf(level);
-    if (logger->isEnabledFor(log4cxxLevel))
-        logger->forcedLog(log4cxxLevel, "msg=\"" + sentence + "\"");
+    write(level, part, "msg=\"" + sentence + "\"");
+}
+
+void logEvent(LogLevel level, LogPart part, const char* event, const std::string& fields)
+{
+    write(level, part, "event=" + std::string(event) + fields);
+}
+
+void flushLog()
+{
+    queue().flush();
+}
+
+std::uint64_t droppedLogLines()
+{
+    return queue().dropped();
 }
 
 std::string escapeForLog(std::string_view text, std::size_t most)
--- a/src/shell/metrics.cpp
+++ b/src/shell/metrics.cpp
@@ -3,6 +3,8 @@
 #include <prometheus/metric_family.h>
 #include <prometheus/text_serializer.h>
 
+#include <algorithm>
+#include <iterator>
 #include <vector>
 
 namespace cornelwind {
@@ -33,7 +35,7 @@
             return m_families.emplace_back(MetricFamily { name, help, type, {} });
         }
 
-        const std::vector<MetricFamily>& all() const { return m_families; }
+        std::vector<MetricFamily>& all() { return m_families; }
 
     private:
         std::vector<MetricFamily> m_families;
@@ -88,7 +90,7 @@
 
 } // namespace
 
-std::string renderMetrics(const Status& status, const Counters& counters, const ShellFigures& figures)
+std::string renderMetrics(const Status& status, const Counters& counters, const ShellFigures& figures, std::vector<prometheus::MetricFamily> requests)
 {
     Families families;
     addCounters(families, counters);
@@ -106,7 +108,9 @@
         metric.counter.value = static_cast<double>(figures.decisions[i]);
         decisions.metric.push_back(metric);
     }
-    return prometheus::TextSerializer().Serialize(families.all());
+    families.counter("cornelwind_log_lines_dropped_total", "Log lines that standard output did not take in time.", figures.logLinesDropped);
+    std::move(families.all().begin(), families.all().end(), std::back_inserter(requests));
+    return prometheus::TextSerializer().Serialize(requests);
 }
 
 } // namespace cornelwind
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -1,7 +1,7 @@
 // The adapter of the users' platform, and the follower of a store with a history.
+#include "cornelwind/router.h"
 #include "platform/adapter.h"
 #include "platform/values.h"
-#include "cornelwind/router.h"
 #include "request_store.h"
 #include "store_follower.h"
 
