Let two instances a zone follow the store and tell the others; share outcomes within the zone

Change: those who follow tell the zone at once, changes are read in groups of 150 ms, who loses the store says so and the next takes over; in-zone messages carry answered requests; the share of sick servers is learnt by service; orders stay with servers that answered lately, look-ups visit the others.

--- a/include/cornelwind/belief.h
+++ b/include/cornelwind/belief.h
@@ -35,6 +35,8 @@
     Duration hold {};
     /// A request is finding out whether it has recovered.
     bool trial = false;
+    /// Share of time that a server of its service is sick: what the belief returns to.
+    double prevalence = 0;
 };
 
 /// Probability that each backend server is sick: a hidden Markov model with two states.
@@ -64,6 +66,9 @@
     /// Notes that a request tries a suspected server; peers wait for its outcome likewise.
     void beginTrial(ServerId server, Time now);
 
+    /// @param share of the time that servers like this one are sick
+    void setPrevalence(ServerId server, double share, Time now);
+
     /// Forgets a server, because it left or its process is a new one.
     void forget(ServerId server) { m_beliefs.erase(server); }
 
--- a/include/cornelwind/selector.h
+++ b/include/cornelwind/selector.h
@@ -32,6 +32,10 @@
     std::uint32_t own = 0;
     std::uint32_t ownSlots = 0;
     std::uint32_t slots = 1;
+    /// Time since an instance of the zone last sent it a request; zero for requests that are not to find out about it.
+    Duration idle {};
+    /// What the request loses on a sick server.
+    double riskWeight = 1;
 };
 
 /// @param random uniformly distributed bits, to tell equal servers apart
--- a/include/cornelwind/server_pool.h
+++ b/include/cornelwind/server_pool.h
@@ -49,6 +49,8 @@
     /// It shed a request; not tried again before.
     Time busyUntil;
     std::uint32_t relapses = 0;
+    /// When this entry instance last sent it a request.
+    Time sentAt;
 };
 
 /// What a choice of a backend server depends on.
@@ -59,6 +61,8 @@
     std::span<const ServerId> excluded;
     /// Whether the request may run on a server in trial.
     bool trialAllowed = false;
+    /// What it loses on a sick server: less where it can be sent again.
+    double riskWeight = 1;
     /// Whether it may take a slot that is reserved for another entry instance.
     bool borrowAllowed = true;
     /// Highest probability of a sick server that the request is sent to, above that of the best one.
@@ -103,6 +107,11 @@
     BeliefTable& beliefs() { return m_beliefs; }
     const BeliefTable& beliefs() const { return m_beliefs; }
 
+    /// Learns for each service which share of its servers is sick; what is not observed returns to it.
+    void learnPrevalence(Time now);
+    /// Notes that another instance of the zone uses a server, and whether it answered in time.
+    void noteUse(ServerId server, bool answered, Time now);
+
     /// What the other instances of the zone have at the servers.
     LoadBook& loads() { return m_loads; }
     /// @return all that this instance has in flight
@@ -117,7 +126,7 @@
     const Server* find(ServerId id) const;
 
     /// Counts a request sent to, or ended at, a server.
-    void begin(Server& server);
+    void begin(Server& server, Time now = {});
     void end(ServerId id);
 
     std::span<Server* const> servers(std::uint32_t service) const;
--- a/src/decision/belief.cpp
+++ b/src/decision/belief.cpp
@@ -9,6 +9,8 @@
 
     // Share of time that a server is sick, as far as nothing is known of it.
     constexpr double PREVALENCE = 0.05;
+    constexpr double MIN_PREVALENCE = 0.02;
+    constexpr double MAX_PREVALENCE = 0.35;
     // A server of which nothing was heard yet.
     constexpr double INITIAL = 0.02;
     constexpr double MIN_SICK = 0.005;
@@ -18,7 +20,8 @@
     // Above it a server is suspected.
     constexpr double SUSPICION = 0.2;
     constexpr Duration FIRST_HOLD = std::chrono::milliseconds(1500);
-    constexpr Duration LONGEST_HOLD = std::chrono::seconds(6);
+    // A server that has recovered must not go without work for much longer than 2 s.
+    constexpr Duration LONGEST_HOLD = std::chrono::milliseconds(2500);
     // A trial whose outcome never came is over after this time.
     constexpr Duration TRIAL_TIME = std::chrono::seconds(2);
 
@@ -36,7 +39,7 @@
     double relaxed(const Belief& belief, Time now)
     {
         const double seconds = std::chrono::duration<double>(now - belief.at).count();
-        return PREVALENCE + (belief.sick - PREVALENCE) * std::exp(-std::max(seconds, 0.0) / RELAXATION_S);
+        return belief.prevalence + (belief.sick - belief.prevalence) * std::exp(-std::max(seconds, 0.0) / RELAXATION_S);
     }
 
     double bayes(double prior, double ratio)
@@ -47,7 +50,7 @@
 
     Belief initialBelief(Time now)
     {
-        return { INITIAL, now, {}, {}, false };
+        return { INITIAL, now, {}, {}, false, PREVALENCE };
     }
 
 } // namespace
@@ -107,6 +110,14 @@
     belief.sick = std::min(belief.sick, PREVALENCE);
 }
 
+void BeliefTable::setPrevalence(ServerId server, double share, Time now)
+{
+    Belief& belief = m_beliefs.try_emplace(server, initialBelief(now)).first->second;
+    belief.sick = relaxed(belief, now);
+    belief.at = now;
+    belief.prevalence = std::clamp(share, MIN_PREVALENCE, MAX_PREVALENCE);
+}
+
 double BeliefTable::sick(ServerId server, Time now) const
 {
     const auto found = m_beliefs.find(server);
--- a/src/decision/catalogue.cpp
+++ b/src/decision/catalogue.cpp
@@ -55,9 +55,18 @@
     if (server.leaving && (isNew || !entry.server.leaving))
         context.report(DecisionKind::Leaving, server.name.value(), "its entry says that it is leaving", "revision " + std::to_string(m_revision.value()));
     entry = { server, {} };
+    m_changed.insert(server.name);
+    m_removed.erase(server.name);
     return true;
 }
 
+void Catalogue::erase(std::map<ServerName, Entry>::iterator entry)
+{
+    m_removed.insert(entry->first);
+    m_changed.erase(entry->first);
+    m_entries.erase(entry);
+}
+
 bool Catalogue::drop(const ServerName& name, Context& context)
 {
     const auto found = m_entries.find(name);
@@ -70,7 +79,7 @@
         return false;
     }
     context.report(DecisionKind::Leaving, name.value(), "its entry was removed", "revision " + std::to_string(m_revision.value()));
-    m_entries.erase(found);
+    erase(found);
     return true;
 }
 
@@ -109,7 +118,7 @@
             continue;
         }
         context.report(DecisionKind::Leaving, entry->first.value(), "its entry lapsed and is not back");
-        entry = m_entries.erase(entry);
+        erase(entry++);
         changed = true;
     }
     return changed;
@@ -130,17 +139,59 @@
 void Catalogue::write(peer::ServersReply& reply) const
 {
     reply.set_revision(m_revision.value());
-    for (const auto& [name, entry] : m_entries) {
-        peer::ServerEntry& row = *reply.add_servers();
-        row.set_name(name.value());
-        row.set_service(entry.server.service.value());
-        row.set_address(toString(entry.server.address));
-        row.set_zone(entry.server.zone.value());
-        row.set_slots(entry.server.slots.value());
-        row.set_leaving(entry.server.leaving);
-        row.set_warmup_ms(static_cast<std::uint32_t>(entry.server.warmup.count()));
-        row.set_incarnation(entry.server.incarnation);
+    for (const auto& [name, entry] : m_entries)
+        writeEntry(entry.server, *reply.add_servers());
+}
+
+void Catalogue::writeEntry(const PublishedServer& server, peer::ServerEntry& row)
+{
+    row.set_name(server.name.value());
+    row.set_service(server.service.value());
+    row.set_address(toString(server.address));
+    row.set_zone(server.zone.value());
+    row.set_slots(server.slots.value());
+    row.set_leaving(server.leaving);
+    row.set_warmup_ms(static_cast<std::uint32_t>(server.warmup.count()));
+    row.set_incarnation(server.incarnation);
+}
+
+std::shared_ptr<peer::Envelope> Catalogue::takeNews()
+{
+    if (m_changed.empty() && m_removed.empty())
+        return nullptr;
+    auto message = std::make_shared<peer::Envelope>();
+    peer::ServersNews& news = *message->mutable_servers_news();
+    news.set_since(m_toldRevision.value());
+    news.set_revision(m_revision.value());
+    for (const ServerName& name : m_changed)
+        writeEntry(m_entries.at(name).server, *news.add_changed());
+    for (const ServerName& name : m_removed)
+        news.add_removed(name.value());
+    m_changed.clear();
+    m_removed.clear();
+    m_toldRevision = m_revision;
+    return message;
+}
+
+bool Catalogue::onNews(const peer::ServersNews& news, Context& context)
+{
+    // Older news, or news that follow others which did not arrive: the members' revisions tell of these.
+    const bool applies = m_known && StoreRevision { news.since() } <= m_revision && StoreRevision { news.revision() } >= m_revision;
+    if (!applies)
+        return false;
+    m_revision = StoreRevision { news.revision() };
+    bool changed = false;
+    for (const peer::ServerEntry& row : news.changed())
+        changed = put(readEntry(row), context) || changed;
+    for (const std::string& name : news.removed()) {
+        const auto found = m_entries.find(ServerName { name });
+        if (found == m_entries.end())
+            continue;
+        context.report(DecisionKind::Leaving, name, "its entry was removed, a member says", "revision " + std::to_string(m_revision.value()));
+        erase(found);
+        changed = true;
     }
+    return changed;
 }
 
 Sheet Catalogue::fill(const Sheet& sheet) const
--- a/src/decision/catalogue.h
+++ b/src/decision/catalogue.h
@@ -6,12 +6,17 @@
 #include "cornelwind/sheet.h"
 
 #include <map>
+#include <memory>
 #include <optional>
+#include <set>
 #include <vector>
 
 namespace cornelwind {
 
 namespace peer {
+    class Envelope;
+    class ServersNews;
+    class ServerEntry;
     class ServersReply;
 }
 
@@ -39,6 +44,15 @@
     bool onPeerList(const peer::ServersReply& reply, Context& context);
     void write(peer::ServersReply& reply) const;
 
+    /// What became known of servers in the meantime, for the members of the zone.
+    ///
+    /// @return nothing if there is nothing new since the last call
+    std::shared_ptr<peer::Envelope> takeNews();
+    /// Takes the news of a member that watches the platform.
+    ///
+    /// @return whether the servers in use changed
+    bool onNews(const peer::ServersNews& news, Context& context);
+
     /// @return the sheet with the servers that take work, by service
     Sheet fill(const Sheet& sheet) const;
 
@@ -54,12 +68,18 @@
         std::optional<Time> goneAt;
     };
 
+    static void writeEntry(const PublishedServer& server, peer::ServerEntry& row);
+    void erase(std::map<ServerName, Entry>::iterator entry);
     bool put(const PublishedServer& server, Context& context);
     bool drop(const ServerName& name, Context& context);
     bool unsettled(Time now) const;
 
     std::map<ServerName, Entry> m_entries;
     StoreRevision m_revision;
+    /// Not yet told: names of changed and removed entries, and what was known before.
+    std::set<ServerName> m_changed;
+    std::set<ServerName> m_removed;
+    StoreRevision m_toldRevision;
     bool m_reachable = true;
     bool m_known = false;
     Time m_lostAt;
--- a/src/decision/gossip.cpp
+++ b/src/decision/gossip.cpp
@@ -10,12 +10,18 @@
     constexpr std::uint32_t PROTOCOL_VERSION = 1;
     constexpr std::size_t UPDATES_PER_MESSAGE = 6;
     constexpr std::size_t ANNOUNCE_FANOUT = 8;
+    constexpr std::size_t ANNOUNCE_ZONE = 64;
     constexpr Duration JOIN_TIME = std::chrono::seconds(2);
     constexpr Duration SHEET_ASK_INTERVAL = std::chrono::milliseconds(300);
     // A zone whose watchers reached the platform this long ago gets another watcher.
     constexpr Duration PLATFORM_STALE = std::chrono::seconds(4);
     constexpr Duration WATCH_STAGGER = std::chrono::seconds(2);
 
+    // Members are known by then, so that not everyone begins to watch.
+    constexpr Duration FIRST_WATCH = std::chrono::milliseconds(500);
+    constexpr Duration FOLLOW_STALE = std::chrono::milliseconds(1200);
+    constexpr Duration FOLLOW_STAGGER = std::chrono::milliseconds(200);
+
     std::uint32_t millisOf(Duration duration)
     {
         constexpr Duration most = std::chrono::hours(24 * 30);
@@ -224,11 +230,17 @@
 
 void Gossip::announce(Context& context)
 {
+    // The own zone hears it at once; elsewhere some members do, and pass it on.
     auto members = m_members.live();
-    for (std::size_t i = 0; i < ANNOUNCE_FANOUT && !members.empty(); ++i) {
-        const std::size_t chosen = context.random() % members.size();
-        send(*members[chosen], makePing(++m_sequence, context), context);
-        members.erase(members.begin() + static_cast<std::ptrdiff_t>(chosen));
+    const auto others = std::stable_partition(members.begin(), members.end(), [this](const MemberRecord* member) { return member->zone == m_identity.zone; });
+    const std::size_t near = std::min<std::size_t>(static_cast<std::size_t>(others - members.begin()), ANNOUNCE_ZONE);
+    for (std::size_t i = 0; i < near; ++i)
+        send(*members[i], makePing(++m_sequence, context), context);
+    std::vector<MemberRecord*> far(others, members.end());
+    for (std::size_t i = 0; i < ANNOUNCE_FANOUT && !far.empty(); ++i) {
+        const std::size_t chosen = context.random() % far.size();
+        send(*far[chosen], makePing(++m_sequence, context), context);
+        far.erase(far.begin() + static_cast<std::ptrdiff_t>(chosen));
     }
 }
 
@@ -255,6 +267,16 @@
     m_platformAt = now;
 }
 
+void Gossip::setFollowing(bool follows, Context& context)
+{
+    if (follows == m_following)
+        return;
+    m_following = follows;
+    // Zero would say that it still follows.
+    m_platformAt = context.now() - Millis { 1 };
+    announce(context);
+}
+
 bool Gossip::shouldWatch(Time now) const
 {
     std::size_t before = 0;
@@ -263,9 +285,12 @@
         if (member.zone != m_identity.zone || member.state != MemberState::Alive)
             continue;
         before += name < m_identity.name;
-        freshest = std::min(freshest, member.platformAge + (now - member.platformAgeAt));
+        freshest = std::min(freshest, member.platformAgeNow(now));
     }
     const auto turn = static_cast<std::int64_t>(before / WATCHERS_PER_ZONE);
+    // Those who wait for changes say so, hence a silence among them is noticed sooner.
+    if (m_identity.platformIsCurrent)
+        return m_started && now - m_start >= FIRST_WATCH && (!turn || freshest > FOLLOW_STALE + turn * FOLLOW_STAGGER);
     return !turn || freshest > PLATFORM_STALE + turn * WATCH_STAGGER;
 }
 
--- a/src/decision/gossip.h
+++ b/src/decision/gossip.h
@@ -63,11 +63,13 @@
     bool leaving() const { return m_leaving; }
 
     void platformAnswered(Time now);
+    /// @param follows whether this entry instance has a call at the platform that waits for changes
+    void setFollowing(bool follows, Context& context);
     /// @return whether this entry instance is among those that watch the platform
     bool shouldWatch(Time now) const;
     /// @return whether every listed member and seed answered, or the time to wait for them is over
     bool joined(Time now) const;
-    Duration platformAge(Time now) const { return now - m_platformAt; }
+    Duration platformAge(Time now) const { return m_following ? Duration {} : now - m_platformAt; }
 
 private:
     struct Probe {
@@ -106,6 +108,7 @@
     InstanceName m_newestRevisionFrom;
     bool m_leaving = false;
     bool m_started = false;
+    bool m_following = false;
 };
 
 } // namespace cornelwind
--- a/src/decision/health.cpp
+++ b/src/decision/health.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <string>
+#include <utility>
 
 namespace cornelwind {
 namespace {
@@ -67,6 +68,8 @@
     if (!m_sheet || context.now() < m_nextEvaluation)
         return;
     m_nextEvaluation = context.now() + EVIDENCE_INTERVAL;
+    if (m_placesByCost)
+        m_parts.pool.learnPrevalence(context.now());
     const FleetView view = fleetView();
     m_parts.pool.setPosition({ view.rank, view.live, m_parts.members.zoneRank(), m_parts.members.zoneLiveCount() + 1 });
     const Digest& digest = m_detector.evaluate(context.now());
@@ -209,6 +212,8 @@
 
 void Health::observed(ServerId server, Observation observation, const std::string& request, Context& context)
 {
+    if (observation == Observation::Success)
+        m_answered.insert(server);
     if (!m_parts.pool.beliefs().observe(server, observation, context.now()))
         return;
     reportBelief(server, observation, "request " + request, context);
@@ -249,7 +254,7 @@
 {
     m_parts.pool.loads().expire(context.now());
     std::vector<ServerLoad> loads = m_parts.pool.ownLoads();
-    if (loads == m_toldLoads && context.now() < m_nextFullLoads)
+    if (loads == m_toldLoads && m_answered.empty() && context.now() < m_nextFullLoads)
         return;
     m_nextFullLoads = context.now() + LoadBook::LIFETIME / 3;
     auto message = std::make_shared<peer::Envelope>();
@@ -257,6 +262,12 @@
         peer::LoadRow& row = *message->mutable_loads()->add_rows();
         row.set_server(load.server.value());
         row.set_in_flight(load.inFlight);
+        row.set_answered(m_answered.erase(load.server) > 0);
+    }
+    for (const ServerId server : std::exchange(m_answered, {})) {
+        peer::LoadRow& row = *message->mutable_loads()->add_rows();
+        row.set_server(server.value());
+        row.set_answered(true);
     }
     message->mutable_loads();
     m_toldLoads = std::move(loads);
@@ -269,8 +280,11 @@
 void Health::onLoads(const peer::Loads& loads, const MemberRecord& sender, Context& context)
 {
     std::vector<ServerLoad> rows;
-    for (const peer::LoadRow& row : loads.rows())
-        rows.push_back({ ServerId { row.server() }, row.in_flight() });
+    for (const peer::LoadRow& row : loads.rows()) {
+        m_parts.pool.noteUse(ServerId { row.server() }, row.answered(), context.now());
+        if (row.in_flight())
+            rows.push_back({ ServerId { row.server() }, row.in_flight() });
+    }
     m_parts.pool.loads().report(sender.name, std::move(rows), context.now());
 }
 
--- a/src/decision/health.h
+++ b/src/decision/health.h
@@ -10,6 +10,7 @@
 #include "member_table.h"
 
 #include <memory>
+#include <set>
 #include <vector>
 
 namespace cornelwind {
@@ -77,6 +78,7 @@
     Time m_nextProbe;
     Time m_nextFullLoads;
     std::vector<ServerLoad> m_toldLoads;
+    std::set<ServerId> m_answered;
     bool m_placesByCost = false;
     std::size_t m_servingCount = 0;
     bool m_toldEjections = false;
--- a/src/decision/member_table.h
+++ b/src/decision/member_table.h
@@ -34,6 +34,10 @@
     Time stateUntil;
     Duration platformAge {};
     Time platformAgeAt;
+
+    /// @return time since it reached the platform; who waits for changes there says zero, until it says otherwise
+    Duration platformAgeNow(Time now) const { return platformAge > Duration {} ? platformAge + (now - platformAgeAt) : Duration {}; }
+
     std::deque<Incarnation> past;
     /// Sends of the latest change that are still due.
     std::uint32_t gossipLeft = 0;
--- a/src/decision/reducer.cpp
+++ b/src/decision/reducer.cpp
@@ -90,6 +90,7 @@
         platformAnswered(context);
         if (m_catalogue.onPublished(event, context))
             adoptServers(context);
+        tellServers(context);
         m_gossip.setServersRevision(m_catalogue.revision());
     }
 
@@ -133,6 +134,8 @@
             m_health.onLoads(message.loads(), *sender, context);
         else if (message.has_servers_request())
             sendServers(*sender, context);
+        else if (message.has_servers_news())
+            takeNews(message.servers_news(), context);
         else if (message.has_servers_reply())
             takeServers(message.servers_reply(), context);
         else if (message.has_sheet_request())
@@ -186,6 +189,8 @@
     {
         if (m_catalogue.onTick(context))
             adoptServers(context);
+        tellServers(context);
+        m_gossip.setFollowing(m_watching && m_catalogue.reachable() && m_catalogue.known(), context);
         if (m_gossip.newestRevision() <= m_catalogue.revision()) {
             m_behindSince.reset();
             return;
@@ -201,7 +206,7 @@
     // Peers know later values: the own call to the platform may have gone silent, or it turns this instance away.
     void catchUp(Context& context)
     {
-        if (m_gossip.newestRevision() != m_refreshedFor) {
+        if (m_watching && m_gossip.newestRevision() != m_refreshedFor) {
             m_refreshedFor = m_gossip.newestRevision();
             context.emit(RefreshPublished {});
             return;
@@ -214,6 +219,25 @@
         m_gossip.send(*source, std::move(message), context);
     }
 
+    // Who watches tells the zone at once; other zones have watchers of their own.
+    void tellServers(Context& context)
+    {
+        const auto news = m_catalogue.takeNews();
+        if (!news || !m_watching)
+            return;
+        for (const MemberRecord* member : m_members.live()) {
+            if (member->zone == m_members.zone())
+                m_gossip.send(*member, std::make_shared<peer::Envelope>(*news), context);
+        }
+    }
+
+    void takeNews(const peer::ServersNews& news, Context& context)
+    {
+        if (m_catalogue.onNews(news, context))
+            adoptServers(context);
+        m_gossip.setServersRevision(m_catalogue.revision());
+    }
+
     void sendServers(const MemberRecord& to, Context& context)
     {
         auto message = std::make_shared<peer::Envelope>();
--- a/src/decision/request_sends.cpp
+++ b/src/decision/request_sends.cpp
@@ -10,6 +10,8 @@
     constexpr Millis SHED_PAUSE { 20 };
     // An address that another server took over is used again once its entry is renewed.
     constexpr Millis MISDIRECTED_PAUSE { 2000 };
+    // A failed look-up costs time and a retry, a failed order its whole worth.
+    constexpr double RESENDABLE_RISK_WEIGHT = 0.5;
     constexpr std::uint16_t SERVICE_UNAVAILABLE = 503;
     // A try shorter than this is not worth its cost.
     constexpr Millis MIN_TRY_TIME { 5 };
@@ -77,6 +79,7 @@
     if (byCost) {
         pick.acceptableRisk = acceptableRisk(request, context.now());
         pick.excess = excessOf(request, context.now());
+        pick.riskWeight = request.rule->kind == RequestKind::Idempotent && !request.sendCount ? RESENDABLE_RISK_WEIGHT : 1;
     } else
         pick.borrowAllowed = mayBorrow(request, context.now());
     Server* server = m_parts.pool.pick(*request.service->index, pick);
@@ -153,7 +156,7 @@
     request.active[request.activeCount++] = { id, server.id, context.now(), false, m_parts.pool.crowded(server) };
     m_tries.emplace(id, request.id);
     recordPlaced(request, server, context);
-    m_parts.pool.begin(server);
+    m_parts.pool.begin(server, context.now());
     const bool byCost = placedByCost(request);
     if (byCost)
         countSend(*request.service, context.now());
--- a/src/decision/selector.cpp
+++ b/src/decision/selector.cpp
@@ -78,17 +78,23 @@
     constexpr double BORROWED_SLOT_COST = 0.04;
     constexpr double FULL_SERVER_COST = 0.1;
     constexpr double TIE_BREAK = 0.01;
+    // Each server of the own share is visited this often as long as it is not suspected.
+    constexpr Duration LONGEST_IDLE = std::chrono::seconds(1);
+    constexpr double IDLE_BONUS = 0.08;
 
 } // namespace
 
 double expectedCost(const PlacementInput& input, std::uint64_t random)
 {
-    double cost = input.risk;
+    double cost = input.risk * input.riskWeight;
     if (!input.sameZone)
         cost += OTHER_ZONE_COST;
     if (input.own >= input.ownSlots)
         cost += BORROWED_SLOT_COST;
     cost += FULL_SERVER_COST * input.total / std::max<std::uint32_t>(input.slots, 1);
+    // What is not looked at for long may have fallen sick, and a healthy server must not go without work.
+    if (input.own < input.ownSlots && input.idle > LONGEST_IDLE)
+        cost -= IDLE_BONUS;
     return cost + TIE_BREAK * static_cast<double>(random >> HALF_BITS) / 4294967296.0;
 }
 
--- a/src/decision/server_pool.cpp
+++ b/src/decision/server_pool.cpp
@@ -94,7 +94,8 @@
         const std::uint32_t total = server->inFlight + m_loads.others(server->id);
         if (total >= server->config.slots.value() + context.excess)
             continue;
-        const PlacementInput input { m_beliefs.sick(server->id, context.now), server->config.zone == m_zone, total, server->inFlight, server->ownSlots, server->config.slots.value() };
+        const PlacementInput input { m_beliefs.sick(server->id, context.now), server->config.zone == m_zone, total, server->inFlight, server->ownSlots, server->config.slots.value(),
+            context.trialAllowed ? context.now - server->sentAt : Duration {}, context.riskWeight };
         if (input.risk > std::max(context.acceptableRisk, lowestRisk + context.acceptableRisk / 2))
             continue;
         random = random * 6364136223846793005ULL + 1442695040888963407ULL;
@@ -107,6 +108,33 @@
     return best;
 }
 
+void ServerPool::learnPrevalence(Time now)
+{
+    // Keeps the estimate from drifting where few servers are observed.
+    constexpr double anchor = 0.05;
+    constexpr double anchorWeight = 0.2;
+    for (std::size_t i = 0; i < m_services.size(); ++i) {
+        if (m_placements[i] != Placement::ExpectedCost || m_services[i].empty())
+            continue;
+        double sum = 0;
+        for (const Server* server : m_services[i])
+            sum += m_beliefs.sick(server->id, now);
+        const double mean = sum / static_cast<double>(m_services[i].size());
+        for (const Server* server : m_services[i])
+            m_beliefs.setPrevalence(server->id, anchorWeight * anchor + (1 - anchorWeight) * mean, now);
+    }
+}
+
+void ServerPool::noteUse(ServerId id, bool answered, Time now)
+{
+    Server* server = find(id);
+    if (!server)
+        return;
+    server->sentAt = std::max(server->sentAt, now);
+    if (answered && !m_beliefs.held(id, now))
+        m_beliefs.hear(id, Observation::Success, now);
+}
+
 std::vector<ServerLoad> ServerPool::ownLoads() const
 {
     std::vector<ServerLoad> loads;
@@ -157,8 +185,9 @@
     return found == m_servers.end() ? nullptr : &found->second;
 }
 
-void ServerPool::begin(Server& server)
+void ServerPool::begin(Server& server, Time now)
 {
+    server.sentAt = now;
     ++server.inFlight;
 }
 
--- a/src/shell/store_follower.cpp
+++ b/src/shell/store_follower.cpp
@@ -12,6 +12,7 @@
 
     // Longer waits save calls; a connection that went silent is noticed by keep-alive probes and by the peers.
     constexpr Millis WAIT_TIME { 25000 };
+    constexpr Millis GROUP_TIME { 150 };
     constexpr Millis FIRST_BACKOFF { 150 };
     constexpr Millis LONGEST_BACKOFF { 1200 };
     constexpr std::uint32_t MAX_DOUBLINGS = 3;
@@ -43,10 +44,31 @@
     call();
 }
 
+void StoreFollower::watch(bool enabled, Millis)
+{
+    m_enabled = enabled;
+    if (enabled && m_resting)
+        return call();
+    if (enabled || m_step != Step::Watch || m_resting)
+        return;
+    m_store->cancel(m_call);
+    m_timer.cancel();
+    rest();
+}
+
+void StoreFollower::rest()
+{
+    m_resting = true;
+    m_failures = 0;
+    // The answer to a cancelled call is not waited for.
+    ++m_number;
+}
+
 void StoreFollower::refresh()
 {
-    if (m_step != Step::Watch || m_failures)
+    if (m_step != Step::Watch || m_failures || m_resting)
         return;
+    m_timer.cancel();
     m_store->cancel(m_call);
     call();
 }
@@ -56,10 +78,14 @@
     m_step = Step::ReadSheet;
     m_page.clear();
     m_servers.clear();
+    m_latestChange = {};
 }
 
 void StoreFollower::call()
 {
+    if (m_step == Step::Watch && !m_enabled)
+        return rest();
+    m_resting = false;
     ++m_calls;
     const auto handler = [this, number = ++m_number](const StoreReply& reply) { onReply(number, reply); };
     switch (m_step) {
@@ -127,16 +153,16 @@
 
 void StoreFollower::onServersRead(const StoreReply& reply)
 {
-    if (m_page.empty())
-        m_firstPage = reply.revision;
     for (const PublishedChange& change : reply.changes) {
-        if (change.server)
-            m_servers.push_back(*change.server);
+        if (!change.server)
+            continue;
+        m_servers.push_back(*change.server);
+        m_latestChange = std::max(m_latestChange, change.revision);
     }
     m_page = reply.nextPage;
     if (m_page.empty()) {
         m_step = Step::Watch;
-        m_handler(ServersPublished { std::exchange(m_servers, {}), m_firstPage, true });
+        m_handler(ServersPublished { std::exchange(m_servers, {}), m_latestChange, true });
     }
     call();
 }
@@ -156,7 +182,8 @@
         m_handler(PlatformReached {});
     else
         m_handler(std::move(servers));
-    call();
+    // Changes often come in groups; one call for all of a group is enough.
+    schedule(reply.changes.empty() ? Duration {} : Duration { GROUP_TIME });
 }
 
 } // namespace cornelwind
--- a/src/shell/store_follower.h
+++ b/src/shell/store_follower.h
@@ -21,7 +21,8 @@
     StoreFollower(boost::asio::io_context& io, std::unique_ptr<PublishedStore> store, Handler handler);
 
     void start() override;
-    void watch(bool, Millis) override { }
+    /// @param enabled waits for changes; else nothing is asked once all is read
+    void watch(bool enabled, Millis listRefresh) override;
     void refresh() override;
     std::uint64_t calls() const override { return m_calls; }
 
@@ -40,6 +41,7 @@
     void onChanges(const StoreReply& reply);
     void readAll();
     void schedule(Duration delay);
+    void rest();
 
     std::unique_ptr<PublishedStore> m_store;
     Handler m_handler;
@@ -51,8 +53,11 @@
     StoreRevision m_revision;
     std::string m_page;
     std::vector<ServerChange> m_servers;
-    /// Revision of the first page: later pages may be newer.
-    StoreRevision m_firstPage;
+    /// Of the entries read so far. The store's own revision also counts other values, which members do not compare.
+    StoreRevision m_latestChange;
+    bool m_enabled = false;
+    /// Nothing is asked: no call runs and none is scheduled.
+    bool m_resting = false;
     std::uint32_t m_failures = 0;
     std::uint64_t m_calls = 0;
 };
