Bound the trials of suspected servers to a share of the requests, one instance after the other

Change: a trial takes a token; look-ups earn 0.15, orders 0.05 each. Instances of the server's zone may try it one after the other, 200 ms apart. A server of the own share that nobody in the zone used for a second is visited whatever its risk; suspected ones are not. The hold is 6 s at most again.

The load it answers: few requests a second and server, many servers sick at a time.

--- a/include/cornelwind/belief.h
+++ b/include/cornelwind/belief.h
@@ -62,6 +62,8 @@
     /// @return whether the server was suspected, its hold is over, and no request tries it yet
     bool dueForTrial(ServerId server, Time now) const;
     bool held(ServerId server, Time now) const;
+    /// @return whether it was accused and has not answered in time since
+    bool suspected(ServerId server) const;
 
     /// Notes that a request tries a suspected server; peers wait for its outcome likewise.
     void beginTrial(ServerId server, Time now);
--- a/include/cornelwind/server_pool.h
+++ b/include/cornelwind/server_pool.h
@@ -61,6 +61,8 @@
     std::span<const ServerId> excluded;
     /// Whether the request may run on a server in trial.
     bool trialAllowed = false;
+    /// Whether the request may visit a server that nobody has used for a while.
+    bool visitAllowed = false;
     /// What it loses on a sick server: less where it can be sent again.
     double riskWeight = 1;
     /// Whether it may take a slot that is reserved for another entry instance.
@@ -136,6 +138,7 @@
 private:
     Server* pickBySlots(std::uint32_t service, const PickContext& context);
     Server* pickByCost(std::uint32_t service, const PickContext& context);
+    Duration trialDelay(const Server& server) const;
     void reshareInZone(std::vector<Server*>& members);
     void reshareInFleet(std::vector<Server*>& members);
     bool hasOwnSlot(std::uint32_t service) const;
--- a/src/decision/belief.cpp
+++ b/src/decision/belief.cpp
@@ -20,8 +20,7 @@
     // Above it a server is suspected.
     constexpr double SUSPICION = 0.2;
     constexpr Duration FIRST_HOLD = std::chrono::milliseconds(1500);
-    // A server that has recovered must not go without work for much longer than 2 s.
-    constexpr Duration LONGEST_HOLD = std::chrono::milliseconds(2500);
+    constexpr Duration LONGEST_HOLD = std::chrono::seconds(6);
     // A trial whose outcome never came is over after this time.
     constexpr Duration TRIAL_TIME = std::chrono::seconds(2);
 
@@ -136,6 +135,12 @@
     return found != m_beliefs.end() && now < found->second.heldUntil;
 }
 
+bool BeliefTable::suspected(ServerId server) const
+{
+    const auto found = m_beliefs.find(server);
+    return found != m_beliefs.end() && found->second.hold > Duration {};
+}
+
 void BeliefTable::beginTrial(ServerId server, Time now)
 {
     const auto found = m_beliefs.find(server);
--- a/src/decision/request_flow.h
+++ b/src/decision/request_flow.h
@@ -93,6 +93,8 @@
         std::uint32_t sends = 0;
         std::uint32_t sendsBefore = 0;
         Time countedFrom;
+        /// Trials of suspected servers that are allowed now.
+        double trials = 1;
         /// Some of its requests may be sent twice, so they find out whether a server has recovered.
         bool idempotentKnown = false;
     };
--- a/src/decision/request_sends.cpp
+++ b/src/decision/request_sends.cpp
@@ -10,6 +10,10 @@
     constexpr Millis SHED_PAUSE { 20 };
     // An address that another server took over is used again once its entry is renewed.
     constexpr Millis MISDIRECTED_PAUSE { 2000 };
+    // Part of the requests that may find out whether a suspected server has recovered: most of these fail.
+    constexpr double TRIAL_SHARE = 0.05;
+    constexpr double IDEMPOTENT_TRIAL_SHARE = 0.15;
+    constexpr double MAX_TRIALS = 2;
     // A failed look-up costs time and a retry, a failed order its whole worth.
     constexpr double RESENDABLE_RISK_WEIGHT = 0.5;
     constexpr std::uint16_t SERVICE_UNAVAILABLE = 503;
@@ -33,6 +37,8 @@
     if (const auto refusal = refusalBeforeSend(request, context))
         return settle(request, { refusal->outcome, refusal->error, nullptr }, refusal->retryAfter, context);
     Service& service = *request.service;
+    const double trialShare = request.rule->kind == RequestKind::Idempotent ? IDEMPOTENT_TRIAL_SHARE : TRIAL_SHARE;
+    service.trials = std::min(service.trials + trialShare, MAX_TRIALS);
     const auto next = service.queue.front();
     if (!next && trySend(request, context))
         return;
@@ -75,7 +81,9 @@
     pick.random = context.random();
     pick.excluded = { request.tried.data(), request.triedCount };
     const bool byCost = placedByCost(request);
-    pick.trialAllowed = request.rule->kind == RequestKind::Idempotent || (byCost && !request.service->idempotentKnown);
+    const bool mayExplore = request.rule->kind == RequestKind::Idempotent || (byCost && !request.service->idempotentKnown);
+    pick.trialAllowed = byCost ? mayExplore && request.service->trials >= 1 : mayExplore;
+    pick.visitAllowed = mayExplore;
     if (byCost) {
         pick.acceptableRisk = acceptableRisk(request, context.now());
         pick.excess = excessOf(request, context.now());
@@ -162,8 +170,10 @@
         countSend(*request.service, context.now());
     if (!byCost)
         m_parts.evidence.trySent(id, server.id, context.now());
-    else if (m_parts.pool.beliefs().dueForTrial(server.id, context.now()))
+    else if (m_parts.pool.beliefs().dueForTrial(server.id, context.now())) {
         m_parts.pool.beliefs().beginTrial(server.id, context.now());
+        request.service->trials = std::max(request.service->trials - 1, 0.0);
+    }
 
     const auto remaining = request.runLimit - context.now();
     const std::uint32_t triesLeft = byCost ? 0 : request.rule->tries > request.sendCount ? request.rule->tries - request.sendCount
--- a/src/decision/selector.cpp
+++ b/src/decision/selector.cpp
@@ -80,21 +80,20 @@
     constexpr double TIE_BREAK = 0.01;
     // Each server of the own share is visited this often as long as it is not suspected.
     constexpr Duration LONGEST_IDLE = std::chrono::seconds(1);
-    constexpr double IDLE_BONUS = 0.08;
+    constexpr double VISIT_BONUS = 0.05;
 
 } // namespace
 
 double expectedCost(const PlacementInput& input, std::uint64_t random)
 {
-    double cost = input.risk * input.riskWeight;
+    // What is not looked at for long may have fallen sick, and a healthy server must not go without work.
+    const bool visit = input.own < input.ownSlots && input.idle > LONGEST_IDLE;
+    double cost = visit ? -VISIT_BONUS : input.risk * input.riskWeight;
     if (!input.sameZone)
         cost += OTHER_ZONE_COST;
     if (input.own >= input.ownSlots)
         cost += BORROWED_SLOT_COST;
     cost += FULL_SERVER_COST * input.total / std::max<std::uint32_t>(input.slots, 1);
-    // What is not looked at for long may have fallen sick, and a healthy server must not go without work.
-    if (input.own < input.ownSlots && input.idle > LONGEST_IDLE)
-        cost -= IDLE_BONUS;
     return cost + TIE_BREAK * static_cast<double>(random >> HALF_BITS) / 4294967296.0;
 }
 
--- a/src/decision/server_pool.cpp
+++ b/src/decision/server_pool.cpp
@@ -88,14 +88,13 @@
     for (Server* server : m_services[service]) {
         if (!accepts(*server, context))
             continue;
-        const bool due = m_beliefs.dueForTrial(server->id, context.now);
-        if (due && context.trialAllowed && !server->inFlight)
+        if (context.trialAllowed && !server->inFlight && m_beliefs.dueForTrial(server->id, context.now - trialDelay(*server)))
             return server;
         const std::uint32_t total = server->inFlight + m_loads.others(server->id);
         if (total >= server->config.slots.value() + context.excess)
             continue;
         const PlacementInput input { m_beliefs.sick(server->id, context.now), server->config.zone == m_zone, total, server->inFlight, server->ownSlots, server->config.slots.value(),
-            context.trialAllowed ? context.now - server->sentAt : Duration {}, context.riskWeight };
+            context.visitAllowed && !m_beliefs.suspected(server->id) ? context.now - server->sentAt : Duration {}, context.riskWeight };
         if (input.risk > std::max(context.acceptableRisk, lowestRisk + context.acceptableRisk / 2))
             continue;
         random = random * 6364136223846793005ULL + 1442695040888963407ULL;
@@ -135,6 +134,17 @@
         m_beliefs.hear(id, Observation::Success, now);
 }
 
+// One instance after the other may try a suspected server, those of its zone first, so that one trial is enough.
+Duration ServerPool::trialDelay(const Server& server) const
+{
+    constexpr Duration step = std::chrono::milliseconds(200);
+    constexpr Duration otherZone = std::chrono::milliseconds(1500);
+    const std::uint64_t hash = server.id.value();
+    if (server.config.zone != m_zone)
+        return otherZone + step * static_cast<std::int64_t>((m_position.rank + hash) % std::max<std::uint32_t>(m_position.instances, 1));
+    return step * static_cast<std::int64_t>((m_position.zoneRank + hash) % std::max<std::uint32_t>(m_position.zoneInstances, 1));
+}
+
 std::vector<ServerLoad> ServerPool::ownLoads() const
 {
     std::vector<ServerLoad> loads;
