Let nothing that members removed come back; tell the story of a request from logs

Ruled out: slow news (others heard within 50 ms), late takeover of the watch.

Change: what a member says was removed is removed; changes up to the revision that is known already are ignored. Two tests in catalogue_test, both seen failing first.

--- a/include/cornelwind/error.h
+++ b/include/cornelwind/error.h
@@ -54,6 +54,7 @@
     ListenFailed,
     AdminUnreachable,
     UnknownCommand,
+    RequestNotLogged,
 };
 
 /// One row of the message table.
--- a/include/cornelwind/published_server.h
+++ b/include/cornelwind/published_server.h
@@ -29,6 +29,8 @@
     ServerName name;
     /// Nothing if the entry was removed or cannot be used.
     std::optional<PublishedServer> server;
+    /// Position of the change in the platform's history.
+    StoreRevision revision;
 };
 
 } // namespace cornelwind
--- a/include/cornelwind/request_record.h
+++ b/include/cornelwind/request_record.h
@@ -38,6 +38,9 @@
     /// Name of the request, as the caller gave it.
     std::string label;
     std::string service;
+    /// Rule of the sheet that it follows, and whether that allows it to run more than once.
+    std::string rule;
+    bool idempotent = false;
     /// Backend server concerned; empty where there is none.
     std::string server;
     /// Version of the sheet in force for the request.
--- a/src/decision/catalogue.cpp
+++ b/src/decision/catalogue.cpp
@@ -27,10 +27,14 @@
 bool Catalogue::onPublished(const ServersPublished& event, Context& context)
 {
     m_known = true;
+    const StoreRevision before = m_revision;
     m_revision = std::max(m_revision, event.revision);
     bool changed = false;
     std::set<ServerName> named;
     for (const ServerChange& change : event.changes) {
+        // A watch that was away resumes with changes that members have told long ago.
+        if (!event.complete && change.revision <= before)
+            continue;
         named.insert(change.name);
         changed = (change.server ? put(*change.server, context) : drop(change.name, context)) || changed;
     }
@@ -128,12 +132,33 @@
 {
     if (StoreRevision { reply.revision() } <= m_revision)
         return false;
-    ServersPublished event;
-    event.revision = StoreRevision { reply.revision() };
-    event.complete = true;
-    for (const peer::ServerEntry& row : reply.servers())
-        event.changes.push_back({ ServerName { row.name() }, readEntry(row) });
-    return onPublished(event, context);
+    m_known = true;
+    m_revision = StoreRevision { reply.revision() };
+    bool changed = false;
+    std::set<ServerName> named;
+    for (const peer::ServerEntry& row : reply.servers()) {
+        named.insert(ServerName { row.name() });
+        changed = put(readEntry(row), context) || changed;
+    }
+    std::vector<ServerName> missing;
+    for (const auto& [name, entry] : m_entries) {
+        if (!named.contains(name))
+            missing.push_back(name);
+    }
+    for (const ServerName& name : missing)
+        changed = dropForMember(name, context) || changed;
+    return changed;
+}
+
+// The member has waited where an entry might only have lapsed; it still names such servers.
+bool Catalogue::dropForMember(const ServerName& name, Context& context)
+{
+    const auto found = m_entries.find(name);
+    if (found == m_entries.end())
+        return false;
+    context.report(DecisionKind::Leaving, name.value(), "its entry was removed, a member says", "revision " + std::to_string(m_revision.value()));
+    erase(found);
+    return true;
 }
 
 void Catalogue::write(peer::ServersReply& reply) const
@@ -183,14 +208,8 @@
     bool changed = false;
     for (const peer::ServerEntry& row : news.changed())
         changed = put(readEntry(row), context) || changed;
-    for (const std::string& name : news.removed()) {
-        const auto found = m_entries.find(ServerName { name });
-        if (found == m_entries.end())
-            continue;
-        context.report(DecisionKind::Leaving, name, "its entry was removed, a member says", "revision " + std::to_string(m_revision.value()));
-        erase(found);
-        changed = true;
-    }
+    for (const std::string& name : news.removed())
+        changed = dropForMember(ServerName { name }, context) || changed;
     return changed;
 }
 
--- a/src/decision/catalogue.h
+++ b/src/decision/catalogue.h
@@ -72,6 +72,7 @@
     void erase(std::map<ServerName, Entry>::iterator entry);
     bool put(const PublishedServer& server, Context& context);
     bool drop(const ServerName& name, Context& context);
+    bool dropForMember(const ServerName& name, Context& context);
     bool unsettled(Time now) const;
 
     std::map<ServerName, Entry> m_entries;
--- a/src/decision/error.cpp
+++ b/src/decision/error.cpp
@@ -47,6 +47,7 @@
         ErrorInfo { ErrorKind::ListenFailed, "listen-failed", "The address cannot be listened on.", "Check that the address is local and the port is free.", 0 },
         ErrorInfo { ErrorKind::AdminUnreachable, "admin-unreachable", "The admin listener does not answer.", "Check the address and that the entry instance runs.", 0 },
         ErrorInfo { ErrorKind::UnknownCommand, "unknown-command", "The admin listener does not know the command.", "Use status, explain, drain or metrics.", 404 },
+        ErrorInfo { ErrorKind::RequestNotLogged, "request-not-logged", "No line of these logs names the request.", "Give the logs of all entry instances; look for lines with event=suppressed.", 0 },
     };
 
     constexpr bool rowsMatchEnumeration()
--- a/src/decision/request_records.cpp
+++ b/src/decision/request_records.cpp
@@ -17,6 +17,10 @@
     record.label = request.label;
     if (request.service)
         record.service = request.service->name.value();
+    if (request.rule) {
+        record.rule = request.rule->name;
+        record.idempotent = request.rule->kind == RequestKind::Idempotent;
+    }
     if (request.sheet)
         record.sheet = request.sheet->version;
     record.sends = request.sendCount;
--- a/src/shell/commands.cpp
+++ b/src/shell/commands.cpp
@@ -6,6 +6,7 @@
 #include "http_client.h"
 #include "instance.h"
 #include "log.h"
+#include "log_story.h"
 #include "platform/adapter.h"
 #include "platform/store_client.h"
 #include "platform/values.h"
@@ -247,6 +248,16 @@
         return ExitCode::Ok;
     }
 
+    ExitCode explainRequest(const std::string& request)
+    {
+        const std::vector<std::string> story = tellStory(std::cin, request);
+        for (const std::string& line : story)
+            std::cout << line << "\n";
+        if (story.empty())
+            return fail(ExitCode::Faulty, { ErrorKind::RequestNotLogged, 0, escapeForLog(request) });
+        return ExitCode::Ok;
+    }
+
 } // namespace
 
 ExitCode runCommand(const Arguments& arguments)
@@ -255,6 +266,8 @@
         return serve(arguments);
     if (arguments.command == "check")
         return check(arguments);
+    if (arguments.command == "explain" && arguments.request)
+        return explainRequest(*arguments.request);
     for (const AdminCommand& command : adminCommands) {
         if (arguments.command == command.name)
             return administer(command, arguments);
--- a/src/shell/commands.h
+++ b/src/shell/commands.h
@@ -24,6 +24,8 @@
     std::optional<std::string> settings;
     std::optional<std::string> sheet;
     std::optional<std::string> admin;
+    /// Name of a request whose story is read from standard input.
+    std::optional<std::string> request;
     std::string subject;
 };
 
--- /dev/null
+++ b/src/shell/log_story.cpp
@@ -0,0 +1,69 @@
+#include "log_story.h"
+
+#include <algorithm>
+#include <map>
+#include <utility>
+
+namespace cornelwind {
+namespace {
+
+    struct Line {
+        std::string time;
+        std::string text;
+    };
+
+    /// @return the value of `key=value` or `key="value"`, or nothing
+    std::string fieldOf(const std::string& line, const std::string& key)
+    {
+        const auto position = line.find(" " + key + "=");
+        if (position == std::string::npos)
+            return {};
+        const auto begin = position + key.size() + 2;
+        if (begin < line.size() && line[begin] == '"')
+            return line.substr(begin + 1, line.find('"', begin + 1) - begin - 1);
+        return line.substr(begin, line.find(' ', begin) - begin);
+    }
+
+    bool changesBelief(const std::string& event)
+    {
+        return event == "server-suspected" || event == "server-cleared" || event == "leaving" || event == "ejected" || event == "returned";
+    }
+
+    std::vector<Line> sortedLines(std::istream& logs)
+    {
+        std::vector<Line> lines;
+        for (std::string text; std::getline(logs, text);) {
+            const auto begin = text.find("time=");
+            if (begin == std::string::npos)
+                continue;
+            text.erase(0, begin);
+            lines.push_back({ text.substr(5, text.find(' ') - 5), std::move(text) });
+        }
+        std::stable_sort(lines.begin(), lines.end(), [](const Line& a, const Line& b) { return a.time < b.time; });
+        return lines;
+    }
+
+} // namespace
+
+std::vector<std::string> tellStory(std::istream& logs, const std::string& request)
+{
+    std::vector<std::string> story;
+    // Latest belief of an entry instance about a backend server.
+    std::map<std::pair<std::string, std::string>, std::string> beliefs;
+    for (Line& line : sortedLines(logs)) {
+        const std::string instance = fieldOf(line.text, "instance");
+        if (changesBelief(fieldOf(line.text, "event"))) {
+            beliefs[{ instance, fieldOf(line.text, "subject") }] = line.text;
+            continue;
+        }
+        if (fieldOf(line.text, "request") != request)
+            continue;
+        const auto belief = beliefs.find({ instance, fieldOf(line.text, "server") });
+        if (belief != beliefs.end())
+            story.push_back("known before: " + belief->second);
+        story.push_back(std::move(line.text));
+    }
+    return story;
+}
+
+} // namespace cornelwind
--- a/src/shell/main.cpp
+++ b/src/shell/main.cpp
@@ -16,6 +16,7 @@
   check    check settings or a sheet         --settings FILE | --sheet FILE
   status   show the state of an instance     --admin HOST:PORT | --settings FILE
   explain  show why it decided as it did     [SUBJECT]
+           tell the story of a request       --request ID < LOGS
   metrics  show its metrics
   drain    stop it without cutting requests
 
@@ -43,12 +44,14 @@
     char* settings = nullptr;
     char* sheet = nullptr;
     char* admin = nullptr;
+    char* request = nullptr;
     int help = 0;
     int version = 0;
     const poptOption options[] = {
         { "settings", 's', POPT_ARG_STRING, &settings, 0, "settings of the entry instance", "FILE" },
         { "sheet", 0, POPT_ARG_STRING, &sheet, 0, "sheet to check", "FILE" },
         { "admin", 'a', POPT_ARG_STRING, &admin, 0, "admin listener of the entry instance", "HOST:PORT" },
+        { "request", 'r', POPT_ARG_STRING, &request, 0, "request to explain from logs on standard input", "ID" },
         { "help", 'h', POPT_ARG_NONE, &help, 0, "show this help", nullptr },
         { "version", 'v', POPT_ARG_NONE, &version, 0, "show the version", nullptr },
         POPT_TABLEEND
@@ -75,6 +78,7 @@
     arguments.settings = taken(settings);
     arguments.sheet = taken(sheet);
     arguments.admin = taken(admin);
+    arguments.request = taken(request);
     if (const char* subject = poptGetArg(context.get()))
         arguments.subject = subject;
     return static_cast<int>(cornelwind::runCommand(arguments));
--- a/src/shell/request_log.cpp
+++ b/src/shell/request_log.cpp
@@ -82,6 +82,8 @@
     std::string fields;
     addQuoted(fields, "request", record.label);
     add(fields, "service", escapeForLog(record.service));
+    add(fields, "rule", escapeForLog(record.rule));
+    add(fields, "kind", std::string(record.idempotent ? "idempotent" : "at-most-once"));
     add(fields, "sheet", record.sheet.value());
     add(fields, "sends", record.sends);
     addMillis(fields, "age_ms", record.age);
--- a/tests/catalogue_test.cpp
+++ b/tests/catalogue_test.cpp
@@ -34,8 +34,8 @@
         m_catalogue.onPublished({ std::move(changes), StoreRevision { revision }, complete }, context);
     }
 
-    void put(const std::string& name, std::uint64_t revision, bool leaving = false) { publish({ { ServerName { name }, makeServer(name, leaving) } }, revision); }
-    void remove(const std::string& name, std::uint64_t revision) { publish({ { ServerName { name }, {} } }, revision); }
+    void put(const std::string& name, std::uint64_t revision, bool leaving = false) { publish({ { ServerName { name }, makeServer(name, leaving), StoreRevision { revision } } }, revision); }
+    void remove(const std::string& name, std::uint64_t revision) { publish({ { ServerName { name }, {}, StoreRevision { revision } } }, revision); }
 
     void lose()
     {
@@ -72,6 +72,7 @@
     }
 
     Catalogue& catalogue() { return m_catalogue; }
+    Time now() const { return m_now; }
 
 private:
     Catalogue m_catalogue;
@@ -100,7 +101,7 @@
     Driver driver;
     driver.put("a", 1);
     driver.put("b", 2);
-    driver.publish({ { ServerName { "a" }, {} }, { ServerName { "ghost" }, {} } }, 3);
+    driver.publish({ { ServerName { "a" }, {}, StoreRevision { 3 } }, { ServerName { "ghost" }, {}, StoreRevision { 3 } } }, 3);
     CHECK(driver.inUse() == Names { "b" });
 }
 
@@ -153,7 +154,7 @@
     Driver driver;
     driver.put("a", 1);
     driver.put("b", 2);
-    driver.publish({ { ServerName { "b" }, makeServer("b") } }, 9, true);
+    driver.publish({ { ServerName { "b" }, makeServer("b"), StoreRevision { 2 } } }, 9, true);
     CHECK(driver.inUse() == Names { "b" });
     CHECK(driver.catalogue().revision() == StoreRevision { 9 });
 }
@@ -179,6 +180,69 @@
     CHECK(ahead.inUse() == Names { "c" });
 }
 
+// hunt-679e-7 of suaje-gw: a request reached a server 2.3 s after its entry was removed, from an instance
+// that the store turned away and that took the removal in its members' list for a lapse.
+TEST_CASE("What members say was removed takes no work, also where the platform turns this instance away")
+{
+    Driver source;
+    source.put("a", 5);
+    source.put("b", 7);
+    source.remove("a", 8);
+    peer::ServersReply list;
+    source.catalogue().write(list);
+    peer::ServersNews news;
+    news.set_since(7);
+    news.set_revision(8);
+    news.add_removed("a");
+
+    struct Row {
+        const char* name;
+        bool byNews;
+        bool reachedAgain;
+    };
+    const Row rows[] = { { "list", false, false }, { "news", true, false }, { "list after an outage", false, true }, { "news after an outage", true, true } };
+    for (const Row& row : rows) {
+        CAPTURE(row.name);
+        Driver driver;
+        driver.put("a", 5);
+        driver.put("b", 7);
+        driver.lose();
+        driver.pass(500);
+        if (row.reachedAgain)
+            driver.reach();
+        EffectList effects;
+        Context context(driver.now(), 1, effects);
+        if (row.byNews)
+            driver.catalogue().onNews(news, context);
+        else
+            driver.catalogue().onPeerList(list, context);
+        CHECK(driver.inUse() == Names { "b" });
+    }
+}
+
+// hunt-679e-7 of suaje-gw: an instance that was turned away for 9 s read old changes on its return and told its zone.
+TEST_CASE("A watch that resumes from an old revision does not bring back what was removed since")
+{
+    Driver source;
+    source.put("b", 7);
+    source.put("c", 8);
+    peer::ServersReply list;
+    source.catalogue().write(list);
+
+    Driver driver;
+    driver.put("b", 3);
+    driver.lose();
+    EffectList effects;
+    Context context(driver.now(), 1, effects);
+    driver.catalogue().onPeerList(list, context);
+    driver.reach();
+    driver.put("a", 5);
+    driver.put("b", 6, true);
+    CHECK(driver.inUse() == Names { "b", "c" });
+    driver.put("a", 9);
+    CHECK(driver.inUse() == Names { "a", "b", "c" });
+}
+
 TEST_CASE("Servers of a service that no route names are not listed for another")
 {
     Driver driver;
