Tell a keyed request that comes late in a stop that its outcome is unknown

Change: with a key the outcome is unknown; without one it stays "not run". Ruled out: a second run of the order (the fuzzer counts one).

--- a/src/decision/request_flow.cpp
+++ b/src/decision/request_flow.cpp
@@ -97,8 +97,9 @@
     request.label = event.label;
     if (!m_sheet || !m_open)
         return refuse(request, { ErrorKind::NoSheet, Outcome::NotRun, RETRY_AFTER }, context);
+    // This send has not run, but an earlier send of a key may have, elsewhere.
     if (m_refusesNew)
-        return refuse(request, { ErrorKind::Draining, Outcome::NotRun, DRAINING_RETRY }, context);
+        return refuse(request, { ErrorKind::Draining, event.key ? Outcome::Unknown : Outcome::NotRun, DRAINING_RETRY }, context);
     const auto rule = m_router.match(event.method, event.target, event.host);
     if (!rule)
         return refuse(request, { ErrorKind::NoRoute, Outcome::NotRun, {} }, context);
--- a/tests/reducer_test.cpp
+++ b/tests/reducer_test.cpp
@@ -288,6 +288,10 @@
     REQUIRE(driver.refusals.size() == 1);
     CHECK(driver.refusals[0].error == ErrorKind::Draining);
     CHECK(driver.refusals[0].outcome == Outcome::NotRun);
+    // fleet_fuzz, CORNELWIND_SEED=76: an earlier send of a key may have run at its owner.
+    driver.apply(HeadReceived { RequestId { 1000 }, "GET", "/x", "a key", {}, false });
+    REQUIRE(driver.refusals.size() == 2);
+    CHECK(driver.refusals[1].outcome == Outcome::Unknown);
     driver.finish(TryResult::Answered);
     CHECK(driver.relayed == 1);
 }
