Ask a member for the servers while the platform turns this instance away

Each new revision that members told made them ask the store again, which did nothing while its calls fail; with a change every 150 to 300 ms a member was never asked. Ruled out: members' news (in the zone within 10 ms), old entries brought back.

Change: a store that does not answer is not asked again for it.

--- a/src/decision/reducer.cpp
+++ b/src/decision/reducer.cpp
@@ -206,7 +206,7 @@
     // Peers know later values: the own call to the platform may have gone silent, or it turns this instance away.
     void catchUp(Context& context)
     {
-        if (m_watching && m_gossip.newestRevision() != m_refreshedFor) {
+        if (m_watching && m_catalogue.reachable() && m_gossip.newestRevision() != m_refreshedFor) {
             m_refreshedFor = m_gossip.newestRevision();
             context.emit(RefreshPublished {});
             return;
--- a/tests/reducer_test.cpp
+++ b/tests/reducer_test.cpp
@@ -295,3 +295,43 @@
     driver.finish(TryResult::Answered);
     CHECK(driver.relayed == 1);
 }
+
+// fresh-39a3 of suaje-gw, DRAIN: an instance that the store turned away stayed 2.5 s behind its members, because each
+// new revision that they told made it ask the store again.
+TEST_CASE("An instance that the platform turns away asks a member for the servers, however fast they change")
+{
+    Settings settings;
+    settings.name = InstanceName { "a" };
+    settings.zone = ZoneName { "z" };
+    settings.peers = { "10.1.0.1", 9000 };
+    settings.platformForm = PlatformForm::Store;
+    Time now { std::chrono::seconds(100) };
+    Reducer reducer = Reducer::Builder().settings(settings).incarnation(Incarnation { 7 }).start(now).build();
+    EffectList effects;
+    const auto apply = [&](EventBody body) { reducer.apply({ now, 1, std::move(body) }, effects); };
+    apply(SheetFetched { makeSheet(1, rule("idempotent")) });
+    apply(ServersPublished { {}, StoreRevision { 1 }, true });
+    const auto pass = [&](int steps, std::uint64_t firstRevision) {
+        for (int i = 0; i < steps; ++i) {
+            auto ping = std::make_shared<peer::Envelope>();
+            ping->set_version(1);
+            ping->mutable_from()->set_name("b");
+            ping->mutable_from()->set_zone("z");
+            ping->mutable_from()->set_address("10.1.0.2:9000");
+            ping->mutable_from()->set_incarnation(9);
+            ping->mutable_ping()->set_servers_revision(firstRevision + static_cast<std::uint64_t>(i));
+            apply(PeerReceived { ping });
+            now += std::chrono::milliseconds(100);
+            apply(Tick {});
+        }
+    };
+    pass(10, 1);
+    apply(PlatformLost {});
+    effects.clear();
+    pass(10, 20);
+    const auto asks = std::count_if(effects.begin(), effects.end(), [](const Effect& effect) {
+        const auto* send = std::get_if<SendPeer>(&effect);
+        return send && send->message->has_servers_request();
+    });
+    CHECK(asks >= 1);
+}
