Make the check of a late wake independent of the order of reading

The owner's log of each (kept by a trial that waits for it) shows the same story: the new send is read first and placed, the send whose time is over is read next, joins it with sends=0 and is abandoned. One run, told as 'ran', nothing sent whose time was over: allowed. After a wake the kernel gives no order between two connections. Ruled out: a send from the request with no time left (its line has sends=0 each time).

Change: the test waits until the owner has refused the send that waited, checks that nothing ran, then sends again. The same two assertions stand, and one more.

--- a/tests/at_most_once_test.cpp
+++ b/tests/at_most_once_test.cpp
@@ -5,7 +5,9 @@
 
 #include <array>
 #include <csignal>
+#include <fstream>
 #include <future>
+#include <iterator>
 #include <string>
 #include <vector>
 
@@ -69,6 +71,13 @@
     return answer ? answer->header("cornelwind-outcome") : "none";
 }
 
+bool logHas(const Scene& scene, const std::string& instance, const std::string& part)
+{
+    std::ifstream log(scene.fleet.logFile(instance));
+    const std::string text { std::istreambuf_iterator<char>(log), {} };
+    return text.find(part) != std::string::npos;
+}
+
 /// At most one run, and every "not-run" true.
 void checkRuns(const Scene& scene, const std::vector<Answer>& answers)
 {
@@ -219,6 +228,9 @@
         { { "Idempotency-Key", scene.key }, { "Cornelwind-Deadline-Ms", "0" } }, "order-1", 500);
     CHECK_FALSE(cut);
     wakeOwner(scene);
+    // A new send that is read before the one that waited is a first send, and may run.
+    REQUIRE(waitFor([&scene] { return logHas(scene, "a", "error=deadline-passed outcome=not-run"); }));
+    CHECK(scene.fleet.runs("order-1") == 0);
     const Answer late = scene.send("a");
     CHECK(outcomeOf(late) == "not-run");
     CHECK(scene.fleet.runs("order-1") == 0);
