--- a/src/decision/request_flow.cpp
+++ b/src/decision/request_flow.cpp
@@ -95,14 +95,15 @@
     request.id = event.request;
     request.forwarded = event.forwarded;
     request.label = event.label;
-    if (!m_sheet || !m_open)
-        return refuse(request, { ErrorKind::NoSheet, Outcome::NotRun, RETRY_AFTER }, context);
     // This send has not run, but an earlier send of a key may have, elsewhere.
+    const Outcome unsent = event.key ? Outcome::Unknown : Outcome::NotRun;
+    if (!m_sheet || !m_open)
+        return refuse(request, { ErrorKind::NoSheet, unsent, RETRY_AFTER }, context);
     if (m_refusesNew)
-        return refuse(request, { ErrorKind::Draining, event.key ? Outcome::Unknown : Outcome::NotRun, DRAINING_RETRY }, context);
+        return refuse(request, { ErrorKind::Draining, unsent, DRAINING_RETRY }, context);
     const auto rule = m_router.match(event.method, event.target, event.host);
     if (!rule)
-        return refuse(request, { ErrorKind::NoRoute, Outcome::NotRun, {} }, context);
+        return refuse(request, { ErrorKind::NoRoute, unsent, {} }, context);
     request.sheet = m_sheet;
     request.rule = &m_sheet->rules[*rule];
     request.service = serviceOf(*m_sheet, chooseService(*request.rule, context));
--- a/src/shell/main.cpp
+++ b/src/shell/main.cpp
@@ -2,6 +2,7 @@
 
 #include <popt.h>
 
+#include <csignal>
 #include <cstdlib>
 #include <iostream>
 #include <memory>
@@ -41,6 +42,8 @@
 
 int main(int argc, const char** argv)
 {
+    // A reload asked for before the settings are read has nothing to reload; by default it would end the process.
+    std::signal(SIGHUP, SIG_IGN);
     char* settings = nullptr;
     char* sheet = nullptr;
     char* admin = nullptr;
--- a/tests/interface_test.cpp
+++ b/tests/interface_test.cpp
@@ -3,6 +3,10 @@
 
 #include <catch2/catch.hpp>
 
+#include <fcntl.h>
+#include <sys/stat.h>
+#include <unistd.h>
+
 #include <atomic>
 #include <csignal>
 #include <fstream>
@@ -194,3 +198,21 @@
         CHECK(answer->status() == 200);
     }
 }
+
+TEST_CASE("A reload that comes before the settings are read does not end the process")
+{
+    Fleet fleet;
+    const std::string admin = fleet.freeAddress();
+    const std::string pipe = fleet.settingsFile("early");
+    REQUIRE(::mkfifo(pipe.c_str(), 0600) == 0);
+    Process process(CORNELWIND_PROGRAM, { "serve", "--settings", pipe }, fleet.logFile("early"));
+    int fd = -1;
+    // Opens as soon as the process waits for the other end.
+    REQUIRE(waitFor([&] { return (fd = ::open(pipe.c_str(), O_WRONLY | O_NONBLOCK | O_CLOEXEC)) >= 0; }));
+    process.signal(SIGHUP);
+    const std::string text = "[instance]\nname = \"early\"\nzone = \"leon\"\n[listen]\ncallers = \"" + fleet.freeAddress() + "\"\npeers = \""
+        + fleet.freeAddress() + "\"\nadmin = \"" + admin + "\"\n";
+    REQUIRE(::write(fd, text.data(), text.size()) == static_cast<ssize_t>(text.size()));
+    ::close(fd);
+    CHECK(waitFor([&] { return call(admin, "GET", "/status").has_value(); }, 3000));
+}
--- a/tests/reducer_test.cpp
+++ b/tests/reducer_test.cpp
@@ -335,3 +335,28 @@
     });
     CHECK(asks >= 1);
 }
+
+TEST_CASE("A keyed request that is refused before its owner is asked may have run elsewhere")
+{
+    struct Row {
+        const char* name;
+        std::string sheet;
+        const char* method;
+        std::optional<std::string> key;
+        ErrorKind error;
+        Outcome outcome;
+    };
+    const std::string served = makeSheet(1, rule("at-most-once"));
+    for (const Row& row : {
+             Row { "no sheet yet", "", "GET", "a key", ErrorKind::NoSheet, Outcome::Unknown },
+             Row { "no sheet yet, no key", "", "GET", {}, ErrorKind::NoSheet, Outcome::NotRun },
+             Row { "no rule in this sheet", served, "PUT", "a key", ErrorKind::NoRoute, Outcome::Unknown },
+             Row { "no rule in this sheet, no key", served, "PUT", {}, ErrorKind::NoRoute, Outcome::NotRun } }) {
+        INFO(row.name);
+        Driver driver(row.sheet);
+        driver.apply(HeadReceived { RequestId { 1 }, row.method, "/x", row.key, {}, false });
+        REQUIRE(driver.refusals.size() == 1);
+        CHECK(driver.refusals[0].error == row.error);
+        CHECK(driver.refusals[0].outcome == row.outcome);
+    }
+}
--- a/tests/standin/relay.cpp
+++ b/tests/standin/relay.cpp
@@ -11,7 +11,10 @@
 namespace cornelwind::test {
 namespace {
 
-    /// What happens to bytes of one direction: 0 passes, -1 cuts, else a delay in ms.
+    constexpr int CUT = -1;
+    constexpr int RESET = -2;
+
+    /// What happens to bytes of one direction: 0 passes, CUT discards them, RESET ends the connection, else a delay in ms.
     struct Modes {
         std::atomic<int> forward = 0;
         std::atomic<int> backward = 0;
@@ -20,7 +23,9 @@
     int modeOf(const std::string& text)
     {
         if (text == "cut")
-            return -1;
+            return CUT;
+        if (text == "reset")
+            return RESET;
         return text == "pass" ? 0 : std::atoi(text.c_str());
     }
 
@@ -34,6 +39,8 @@
             if (count <= 0)
                 break;
             const int now = mode;
+            if (now == RESET)
+                break;
             // After a gap the rest of the stream would be garbage.
             broken = broken || now < 0;
             if (broken && now >= 0)
--- a/tests/standin/server.cpp
+++ b/tests/standin/server.cpp
@@ -5,6 +5,7 @@
 
 #include <atomic>
 #include <chrono>
+#include <cstdio>
 #include <cstdlib>
 #include <mutex>
 #include <random>
@@ -171,7 +172,11 @@
         void record(const char* what, const Message& request)
         {
             const std::lock_guard lock(m_mutex);
-            m_record += std::string(what) + " " + request.method() + " " + request.target() + " " + request.body + "\n";
+            const std::string line = std::string(what) + " " + request.method() + " " + request.target() + " " + request.body + "\n";
+            m_record += line;
+            // What ran is known after a kill as well.
+            std::fputs(line.c_str(), stdout);
+            std::fflush(stdout);
         }
 
         int setting(const std::string& key, int fallback = 0)
--- a/tests/standin/standin.h
+++ b/tests/standin/standin.h
@@ -20,7 +20,7 @@
 int runPlatform(const Options& options);
 /// A backend server: any path is work; /control, /record and /health below /standin.
 int runServer(const Options& options);
-/// Passes TCP on; `PUT /control` with forward and backward = pass, cut or a delay in ms.
+/// Passes TCP on; `PUT /control` with forward and backward = pass, cut, reset or a delay in ms.
 int runRelay(const Options& options);
 
 } // namespace cornelwind::test
--- a/tests/support/fleet.cpp
+++ b/tests/support/fleet.cpp
@@ -150,10 +150,21 @@
     Server& server = m_servers[options.name];
     server.options = options;
     server.address = freeAddress();
+    startServer(server);
+    waitFor([&] { return call(server.address, "GET", "/standin/record").has_value(); });
+}
+
+void Fleet::startServer(Server& server)
+{
+    const ServerOptions& options = server.options;
     server.process = std::make_unique<Process>(STANDIN_PROGRAM,
         std::vector<std::string> { "server", "--listen", server.address, "--name", options.name, "--slots", std::to_string(options.slots), "--service-ms", std::to_string(options.serviceMs) },
-        m_folder + "/" + options.name + ".log");
-    waitFor([&] { return call(server.address, "GET", "/standin/record").has_value(); });
+        logFile(options.name));
+}
+
+void Fleet::restartServer(const std::string& name)
+{
+    startServer(m_servers.at(name));
 }
 
 std::string Fleet::sheet(int version, const std::string& serviceSettings, const std::string& rules) const
--- a/tests/support/fleet.h
+++ b/tests/support/fleet.h
@@ -85,6 +85,9 @@
     std::string peers(const std::string& name) const { return m_instances.at(name).peers; }
     std::string settingsFile(const std::string& name) const;
     std::string logFile(const std::string& name) const { return m_folder + "/" + name + ".log"; }
+    Process& server(const std::string& name) { return *m_servers.at(name).process; }
+    /// Starts the process of a killed backend server again, at the same address and without its memory.
+    void restartServer(const std::string& name);
     std::string serverAddress(const std::string& name) const { return m_servers.at(name).address; }
     std::string platform() const { return m_platformAddress; }
 
@@ -111,6 +114,8 @@
     std::string freeAddress();
 
 private:
+    struct Server;
+    void startServer(Server& server);
     struct Instance {
         std::string callers;
         std::string admin;
