Let orders try suspected servers unless enough look-ups do

Ruled out: the budget of trials (0.7 a second for each instance, 0.4 needed), the hold (3 s), ejection (none).

Change: not whether the sheet has a rule for look-ups, but whether they are frequent enough to provide as many trials decides whether orders try. Test first (reducer_test, two of three rows fail without the change).

--- a/soak/run.cpp
+++ b/soak/run.cpp
@@ -471,10 +471,19 @@
 
 void Run::checkStops()
 {
-    for (const Instance& instance : m_instances)
+    for (Instance& instance : m_instances) {
         processOf(instance).signal(SIGTERM);
+        instance.state = State::Stopping;
+    }
+    const auto allDown = [this] {
+        watchStops();
+        return std::all_of(m_instances.begin(), m_instances.end(), [](const Instance& instance) { return instance.state == State::Down; });
+    };
+    if (test::waitFor(allDown, STOP_LIMIT_MS))
+        return;
     for (Instance& instance : m_instances) {
-        noteExit(instance, processOf(instance).wait(STOP_LIMIT_MS));
+        if (instance.state != State::Down)
+            noteExit(instance, std::nullopt);
     }
 }
 
--- a/src/decision/request_flow.cpp
+++ b/src/decision/request_flow.cpp
@@ -24,11 +24,6 @@
         service->config.servers.clear();
         service->budget.setPercent(service->config.retryPercent);
         setBurst(*service);
-        service->idempotentKnown = false;
-    }
-    for (const SheetRule& rule : m_sheet->rules) {
-        if (rule.kind == RequestKind::Idempotent)
-            serviceOf(*m_sheet, rule.service)->idempotentKnown = true;
     }
     std::erase_if(m_services, [](const auto& row) { return !row.second->index && row.second.use_count() == 1; });
 }
--- a/src/decision/request_flow.h
+++ b/src/decision/request_flow.h
@@ -100,8 +100,8 @@
         Time countedFrom;
         /// Trials of suspected servers that are allowed now.
         double trials = 1;
-        /// Some of its requests may be sent twice, so they find out whether a server has recovered.
-        bool idempotentKnown = false;
+        /// Share of its latest requests that may be sent twice.
+        double idempotentShare = 0;
     };
     using ServicePtr = std::shared_ptr<Service>;
 
@@ -201,6 +201,7 @@
     Millis retryAfterOf(const Request& request, RefusalCause cause, Context& context) const;
     Time queueEnd(const Request& request, Time now) const;
     void onSlow(Request& request, Context& context);
+    bool mayExplore(const Request& request) const;
     void learnFromAnswer(Request& request, const ActiveTry& ended, bool failed, Context& context);
     void observe(Request& request, const ActiveTry& ended, Observation observation, Context& context);
     std::uint32_t chooseService(const SheetRule& rule, Context& context);
--- a/src/decision/request_sends.cpp
+++ b/src/decision/request_sends.cpp
@@ -14,6 +14,8 @@
     constexpr double TRIAL_SHARE = 0.05;
     constexpr double IDEMPOTENT_TRIAL_SHARE = 0.15;
     constexpr double MAX_TRIALS = 2;
+    // The share is that of the latest hundred requests or so.
+    constexpr double KIND_WEIGHT = 0.01;
     // A failed look-up costs time and a retry, a failed order its whole worth.
     constexpr double RESENDABLE_RISK_WEIGHT = 0.5;
     constexpr std::uint16_t SERVICE_UNAVAILABLE = 503;
@@ -37,8 +39,9 @@
     if (const auto refusal = refusalBeforeSend(request, context))
         return settle(request, { refusal->outcome, refusal->error, nullptr }, refusal->retryAfter, context);
     Service& service = *request.service;
-    const double trialShare = request.rule->kind == RequestKind::Idempotent ? IDEMPOTENT_TRIAL_SHARE : TRIAL_SHARE;
-    service.trials = std::min(service.trials + trialShare, MAX_TRIALS);
+    const bool idempotent = request.rule->kind == RequestKind::Idempotent;
+    service.trials = std::min(service.trials + (idempotent ? IDEMPOTENT_TRIAL_SHARE : TRIAL_SHARE), MAX_TRIALS);
+    service.idempotentShare += KIND_WEIGHT * ((idempotent ? 1 : 0) - service.idempotentShare);
     const auto next = service.queue.front();
     if (!next && trySend(request, context))
         return;
@@ -81,10 +84,9 @@
     pick.random = context.random();
     pick.excluded = { request.tried.data(), request.triedCount };
     const bool byCost = placedByCost(request);
-    const bool mayExplore = request.rule->kind == RequestKind::Idempotent || (byCost && !request.service->idempotentKnown);
-    pick.trialAllowed = mayExplore;
+    pick.trialAllowed = mayExplore(request);
     pick.trialBudgeted = request.service->trials >= 1;
-    pick.visitAllowed = mayExplore;
+    pick.visitAllowed = pick.trialAllowed;
     if (byCost) {
         pick.acceptableRisk = acceptableRisk(request, context.now());
         pick.excess = excessOf(request, context.now());
@@ -98,6 +100,14 @@
     return true;
 }
 
+// Orders find out whether a server has recovered only where too few requests may be sent twice to do so.
+bool RequestFlow::mayExplore(const Request& request) const
+{
+    if (request.rule->kind == RequestKind::Idempotent)
+        return true;
+    return placedByCost(request) && request.service->idempotentShare * IDEMPOTENT_TRIAL_SHARE < TRIAL_SHARE;
+}
+
 // The longer a request has waited, the more it has to gain from a doubtful server.
 double RequestFlow::acceptableRisk(const Request& request, Time now) const
 {
--- a/tests/reducer_test.cpp
+++ b/tests/reducer_test.cpp
@@ -30,16 +30,29 @@
     return std::string("[[rule]]\nmethod = \"GET\"\npath = \"/\"\nservice = \"s\"\nkind = \"") + kind + "\"\nkey = \"none\"\ntime_limit_ms = 1000\n" + more;
 }
 
+/// Reads sheets as `readSheet` does, with a placement that only the platform's form of a sheet can state.
+SheetReader readerWith(Placement placement)
+{
+    return [placement](std::string_view text, Reasons& reasons) {
+        auto sheet = readSheet(text, reasons);
+        if (sheet) {
+            for (SheetService& service : sheet->services)
+                service.placement = placement;
+        }
+        return sheet;
+    };
+}
+
 /// One reducer with a clock of its own.
 class Driver {
 public:
-    explicit Driver(const std::string& sheet)
+    explicit Driver(const std::string& sheet, Placement placement = Placement::Slots)
     {
         Settings settings;
         settings.name = InstanceName { "a" };
         settings.zone = ZoneName { "z" };
         settings.peers = { "10.1.0.1", 9000 };
-        m_reducer.emplace(Reducer::Builder().settings(settings).incarnation(Incarnation { 7 }).start(m_now).build());
+        m_reducer.emplace(Reducer::Builder().settings(settings).incarnation(Incarnation { 7 }).start(m_now).sheetReader(readerWith(placement)).build());
         apply(InstancesListed { { { InstanceName { "a" }, ZoneName { "z" }, { "10.1.0.1", 9000 }, false } } });
         apply(SheetFetched { sheet });
         apply(Tick {});
@@ -68,10 +81,10 @@
         }
     }
 
-    RequestId request(std::optional<Millis> remaining = {}, std::uint64_t fingerprint = 1)
+    RequestId request(std::optional<Millis> remaining = {}, std::uint64_t fingerprint = 1, const char* path = "/x")
     {
         const RequestId id { ++m_lastRequest };
-        apply(HeadReceived { id, "GET", "/x", {}, remaining, false });
+        apply(HeadReceived { id, "GET", path, {}, remaining, false });
         apply(BodyReceived { id, Fingerprint { fingerprint } });
         return id;
     }
@@ -360,3 +373,38 @@
         CHECK(driver.refusals[0].outcome == row.outcome);
     }
 }
+
+// scale-2 of sarc-gate-grown, FLOOR: a sheet that brought a rule for look-ups kept orders from trying suspected servers,
+// though hardly any look-up came; servers that had recovered got nothing for many seconds.
+TEST_CASE("Orders find out whether a server has recovered where too few look-ups do")
+{
+    struct Row {
+        const char* name;
+        bool lookupRule;
+        /// Every request but the n-th is an order.
+        int lookupEach;
+        bool orderTries;
+    };
+    const std::string orders = "[[rule]]\nmethod = \"GET\"\npath = \"/x\"\nservice = \"s\"\nkind = \"at-most-once\"\nkey = \"none\"\ntime_limit_ms = 1000\n";
+    const std::string lookups = "[[rule]]\nmethod = \"GET\"\npath = \"/look-up\"\nservice = \"s\"\nkind = \"idempotent\"\ntries = 1\ntime_limit_ms = 1000\n";
+    for (const Row& row : { Row { "no rule for look-ups", false, 1000, true }, Row { "a rule for look-ups, and none comes", true, 1000, true }, Row { "every second request a look-up", true, 2, false } }) {
+        INFO(row.name);
+        Driver driver(makeSheet(2, orders + (row.lookupRule ? lookups : "")), Placement::ExpectedCost);
+        ServerName suspected;
+        bool tried = false;
+        for (int i = 1; i <= 900 && !tried; ++i) {
+            const bool isLookup = i % row.lookupEach == 0;
+            driver.request({}, static_cast<std::uint64_t>(i), isLookup ? "/look-up" : "/x");
+            driver.pass(Millis { 10 });
+            REQUIRE(driver.sends.size() == 1);
+            const ServerName server = driver.sends.front().name;
+            const bool first = i == 300;
+            if (first)
+                suspected = server;
+            tried = i > 300 && server == suspected && !isLookup;
+            driver.finish(TryResult::Answered, first || server == suspected ? 500 : 200);
+            driver.sends.clear();
+        }
+        CHECK(tried == row.orderTries);
+    }
+}
