--- a/soak/run.cpp
+++ b/soak/run.cpp
@@ -200,8 +200,13 @@
 void Run::finishStop(const Fault& fault)
 {
     Instance& instance = instanceOf(fault);
-    if (instance.state == State::Stopping)
-        noteExit(instance, processOf(instance).wait(STOP_LIMIT_MS));
+    // Others that end meanwhile are noted when they do.
+    const auto isDown = [this, &instance] {
+        watchStops();
+        return instance.state == State::Down;
+    };
+    if (!test::waitFor(isDown, STOP_LIMIT_MS))
+        noteExit(instance, std::nullopt);
     startInstance(fault);
 }
 
