Take the limits of callers from the sheet

A caller that reuses a connection within four fifths of a limit above 60 s would have met a closed one, and one below was not enforced.

Change: Sheet carries CallerLimits, read from the TOML sheet and by the adapter; the reducer tells the shell when they change, and idle connections count anew. Tests first: caller_test (the open connection stayed 60 s), config_test, platform_test.

--- a/fuzz/fleet_fuzz.cpp
+++ b/fuzz/fleet_fuzz.cpp
@@ -316,6 +316,7 @@
     void on(std::size_t, const SendProbe&) { }
     void on(std::size_t, const WatchPlatform&) { }
     void on(std::size_t, const Report&) { }
+    void on(std::size_t, const SetCallerLimits&) { }
     void on(std::size_t, const SetReady&) { }
     void on(std::size_t index, const Stopped&)
     {
--- a/include/cornelwind/effect.h
+++ b/include/cornelwind/effect.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "cornelwind/answer.h"
+#include "cornelwind/caller_limits.h"
 #include "cornelwind/decision.h"
 #include "cornelwind/error.h"
 #include "cornelwind/request_record.h"
@@ -121,6 +122,11 @@
     RequestRecord record;
 };
 
+/// Limits of callers that hold from now on, also for open connections.
+struct SetCallerLimits {
+    CallerLimits limits;
+};
+
 /// The instance starts or ceases to be ready for callers.
 struct SetReady {
     bool ready;
@@ -131,7 +137,7 @@
 };
 
 using Effect = std::variant<ReadBody, SendTry, CancelTry, ForwardToOwner, RelayAnswer, Refuse, ReleaseRequest, GiveKeys, SendPeer, SendProbe,
-    WatchPlatform, RefreshPublished, Report, RecordRequest, SetReady, Stopped>;
+    WatchPlatform, RefreshPublished, Report, RecordRequest, SetCallerLimits, SetReady, Stopped>;
 using EffectList = std::vector<Effect>;
 
 } // namespace cornelwind
--- a/include/cornelwind/sheet.h
+++ b/include/cornelwind/sheet.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "cornelwind/caller_limits.h"
 #include "cornelwind/error.h"
 #include "cornelwind/types.h"
 
@@ -127,6 +128,8 @@
     SheetHash hash;
     std::vector<SheetService> services;
     std::vector<SheetRule> rules;
+    /// Nothing where the settings of the instance hold.
+    std::optional<CallerLimits> callers;
     /// The text it was read from, as relayed between entry instances.
     std::string text;
 };
--- a/src/config/sheet.cpp
+++ b/src/config/sheet.cpp
@@ -18,6 +18,8 @@
     constexpr std::uint64_t MAX_CONNECTIONS = 100000;
     constexpr std::uint64_t MAX_MILLIS = 3600 * 1000;
     constexpr std::uint64_t MAX_TRIES = 5;
+    constexpr std::uint64_t MIN_HEAD_BYTES = 1024;
+    constexpr std::uint64_t MAX_HEAD_BYTES = 1024 * 1024;
     constexpr std::uint64_t MAX_MESSAGE_BYTES = 16ULL * 1024 * 1024;
 
     constexpr Choice<Weighting> weightings[] = {
@@ -46,6 +48,7 @@
         {
             TableReader reader(root, m_reasons);
             reader.strong("version", m_sheet.version, 1, MAX_VERSION, true);
+            readCallerLimits(reader);
             reader.tables("service", [this](const toml::table& row) { readService(row); });
             reader.tables("rule", [this](const toml::table& row) { readRule(row); });
             reader.rejectUnknownKeys();
@@ -54,6 +57,16 @@
         Sheet take() { return std::move(m_sheet); }
 
     private:
+        void readCallerLimits(TableReader& reader)
+        {
+            CallerLimits limits;
+            reader.strong("max_head_bytes", limits.head, MIN_HEAD_BYTES, MAX_HEAD_BYTES);
+            reader.millis("head_time_ms", limits.headTime, 1, MAX_MILLIS);
+            reader.millis("idle_time_ms", limits.idleTime, 1, MAX_MILLIS);
+            if (limits != CallerLimits {})
+                m_sheet.callers = limits;
+        }
+
         void readService(const toml::table& row)
         {
             TableReader reader(row, m_reasons);
--- a/src/decision/reducer.cpp
+++ b/src/decision/reducer.cpp
@@ -180,6 +180,10 @@
         m_pool.adopt(*sheet, context.now());
         m_flow.adopt(sheet);
         m_health.adopt(sheet);
+        if (sheet->callers && sheet->callers != m_callerLimits) {
+            m_callerLimits = sheet->callers;
+            context.emit(SetCallerLimits { *m_callerLimits });
+        }
     }
 
     // Routes and servers are published apart; what is in force joins the latest of both.
@@ -299,6 +303,7 @@
     RequestFlow m_flow;
     Drain m_drain;
     DecisionLog m_decisions;
+    std::optional<CallerLimits> m_callerLimits;
     std::optional<Time> m_behindSince;
     Time m_nextCatchUp;
     StoreRevision m_refreshedFor;
--- a/src/shell/http_server.cpp
+++ b/src/shell/http_server.cpp
@@ -25,7 +25,6 @@
     using ErrorCode = boost::system::error_code;
     using Parser = http::request_parser<http::string_body>;
 
-    constexpr Millis IDLE_TIME { 60000 };
     constexpr std::size_t UNLIMITED_BODY = 64 * 1024 * 1024;
     constexpr std::string_view CONTINUE = "HTTP/1.1 100 Continue\r\n\r\n";
 
@@ -118,6 +117,7 @@
 
     void accept();
     void closeIdle();
+    void setLimits(const CallerLimits& changed);
     void close()
     {
         ErrorCode ignored;
@@ -125,7 +125,7 @@
     }
 
     HttpHandler& handler;
-    const HttpLimits limits;
+    HttpLimits limits;
     std::unordered_set<Session*> sessions;
     bool draining = false;
 
@@ -168,6 +168,13 @@
             closeNow();
     }
 
+    /// The idle time begins anew, so that no connection is closed sooner than its caller was told.
+    void renewIdleTime()
+    {
+        if (m_phase == Phase::Idle)
+            armIdle();
+    }
+
     const HttpHead& head() const override { return m_head; }
 
     void readBody(std::size_t limit) override
@@ -211,13 +218,15 @@
         m_phase = Phase::Idle;
         if (m_buffer.size())
             return receiveHead();
-        arm(IDLE_TIME, &Session::closeNow);
+        armIdle();
         m_socket.async_wait(tcp::socket::wait_read, [self = shared_from_this()](ErrorCode error) {
             if (!error && self->m_phase == Phase::Idle)
                 self->receiveHead();
         });
     }
 
+    void armIdle() { arm(m_listener->limits.idleTime, &Session::closeNow); }
+
     void receiveHead()
     {
         m_phase = Phase::Receiving;
@@ -225,7 +234,7 @@
         m_parser.emplace();
         m_parser->header_limit(static_cast<std::uint32_t>(m_listener->limits.head));
         m_parser->body_limit(UNLIMITED_BODY);
-        arm(m_listener->limits.receiveTime, &Session::onSlowHead);
+        arm(m_listener->limits.headTime, &Session::onSlowHead);
         http::async_read_header(m_socket, m_buffer, *m_parser, [self = shared_from_this()](ErrorCode error, std::size_t) { self->onHeadRead(error); });
     }
 
@@ -394,6 +403,15 @@
         session->closeIfIdle();
 }
 
+void HttpServer::Listener::setLimits(const CallerLimits& changed)
+{
+    limits.head = static_cast<std::size_t>(changed.head.value());
+    limits.headTime = changed.headTime;
+    limits.idleTime = changed.idleTime;
+    for (Session* session : sessions)
+        session->renewIdleTime();
+}
+
 HttpServer::HttpServer(asio::io_context& io, HttpHandler& handler, HttpLimits limits)
     : m_listener(std::make_shared<Listener>(io, handler, limits))
 {
@@ -409,6 +427,11 @@
     return m_listener->listen(address, reason);
 }
 
+void HttpServer::setLimits(const CallerLimits& limits)
+{
+    m_listener->setLimits(limits);
+}
+
 void HttpServer::drain()
 {
     m_listener->draining = true;
--- a/src/shell/http_server.h
+++ b/src/shell/http_server.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "cornelwind/answer.h"
+#include "cornelwind/caller_limits.h"
 #include "cornelwind/error.h"
 #include "cornelwind/types.h"
 
@@ -57,7 +58,11 @@
 struct HttpLimits {
     std::uint32_t connections = 1000;
     std::size_t head = 16 * 1024;
+    /// Longest time from the first byte of a request to the end of its headers.
+    Millis headTime { 5000 };
+    /// Longest wait for more of a body; see `CallerLimits` for the rest.
     Millis receiveTime { 5000 };
+    Millis idleTime { 60000 };
 };
 
 /// Accepts HTTP/1.1 connections and reads requests from them.
@@ -72,6 +77,8 @@
     /// @return the address listened on, or nothing with ListenFailed in `reason`
     std::optional<Endpoint> listen(const Endpoint& address, Reason& reason);
 
+    /// Takes over other limits, also for connections that are open.
+    void setLimits(const CallerLimits& limits);
     /// Answers from now on close their connection.
     void drain();
     /// Closes the connections that carry no request.
--- a/src/shell/instance.cpp
+++ b/src/shell/instance.cpp
@@ -48,6 +48,16 @@
         return fields;
     }
 
+    HttpLimits httpLimitsOf(const Settings& settings, std::uint32_t connections)
+    {
+        HttpLimits limits;
+        limits.connections = connections;
+        limits.head = static_cast<std::size_t>(settings.maxHead.value());
+        limits.headTime = settings.receiveTime;
+        limits.receiveTime = settings.receiveTime;
+        return limits;
+    }
+
 } // namespace
 
 Instance::Instance(Settings settings, Adapter adapter)
@@ -65,13 +75,13 @@
           m_io, m_requests, m_tracer, m_settings, [this](EventBody body) { apply(std::move(body)); },
           [this](peer::Envelope& message) { m_reducer.sign(message); })
     , m_adminSide(adminParts())
-    , m_callerServer(m_io, m_callerSide, { m_settings.maxConnections, static_cast<std::size_t>(m_settings.maxHead.value()), m_settings.receiveTime })
-    , m_adminServer(m_io, m_adminSide, { ADMIN_CONNECTIONS, static_cast<std::size_t>(m_settings.maxHead.value()), m_settings.receiveTime })
+    , m_callerServer(m_io, m_callerSide, httpLimitsOf(m_settings, m_settings.maxConnections))
+    , m_adminServer(m_io, m_adminSide, httpLimitsOf(m_settings, ADMIN_CONNECTIONS))
 {
     if (m_settings.platform)
         m_platform = m_adapter.makeSource(m_io, m_client, *m_settings.platform, [this](EventBody body) { apply(std::move(body)); });
     if (m_settings.readiness)
-        m_readinessServer.emplace(m_io, m_callerSide, HttpLimits { ADMIN_CONNECTIONS, static_cast<std::size_t>(m_settings.maxHead.value()), m_settings.receiveTime });
+        m_readinessServer.emplace(m_io, m_callerSide, httpLimitsOf(m_settings, ADMIN_CONNECTIONS));
 }
 
 bool Instance::start(Reason& reason)
@@ -182,6 +192,12 @@
     logEvent(levelOf(effect.decision.kind), LogPart::Decision, toString(effect.decision.kind), fieldsOf(effect.decision));
 }
 
+void Instance::on(const SetCallerLimits& effect)
+{
+    m_callerServer.setLimits(effect.limits);
+    logLine(LogLevel::Info, LogPart::Main, "Limits of callers: " + std::to_string(effect.limits.head.value()) + " bytes of head in " + std::to_string(effect.limits.headTime.count()) + " ms, idle for " + std::to_string(effect.limits.idleTime.count()) + " ms.");
+}
+
 void Instance::on(const SetReady& effect)
 {
     m_callerSide.setReady(effect.ready);
--- a/src/shell/instance.h
+++ b/src/shell/instance.h
@@ -68,6 +68,7 @@
     void on(const RefreshPublished& effect);
     void on(const Report& effect);
     void on(const RecordRequest& effect) { m_requestLog.add(effect.record, steadyNow()); }
+    void on(const SetCallerLimits& effect);
     void on(const SetReady& effect);
     void on(const Stopped& effect);
 
--- a/tests/caller_test.cpp
+++ b/tests/caller_test.cpp
@@ -3,6 +3,9 @@
 
 #include <catch2/catch.hpp>
 
+#include <sys/socket.h>
+
+#include <chrono>
 #include <string>
 #include <thread>
 #include <vector>
@@ -13,10 +16,7 @@
 
 const std::string LIMITS = "[limits]\nconnections = 20\nhead_bytes = 2048\nreceive_ms = 400\n";
 
-void startOne(Fleet& fleet)
-{
-    fleet.addServer({ "cat-1", "catalogue", 8, 1 });
-    fleet.publishSheet(fleet.sheet(1, "", R"([[rule]]
+const std::string RULES = R"([[rule]]
 method = "GET"
 path = "/catalogue"
 service = "catalogue"
@@ -44,7 +44,12 @@
 kind = "at-most-once"
 max_body_bytes = 100
 time_limit_ms = 800
-)"));
+)";
+
+void startOne(Fleet& fleet)
+{
+    fleet.addServer({ "cat-1", "catalogue", 8, 1 });
+    fleet.publishSheet(fleet.sheet(1, "", RULES));
     fleet.addInstance("a", "leon", LIMITS);
     fleet.startAll();
 }
@@ -240,3 +245,31 @@
     held.clear();
     CHECK(waitFor([&] { return stillServes(fleet); }));
 }
+
+TEST_CASE("The sheet's limits of callers hold, also for connections that are open")
+{
+    using Clock = std::chrono::steady_clock;
+    constexpr int IDLE_MS = 800;
+    Fleet fleet;
+    startOne(fleet);
+    const auto [host, port] = splitAddress(fleet.callers("a"));
+    const Socket open = connectTo(host, port);
+    std::string rest;
+    REQUIRE(writeAll(open, "GET /catalogue/open HTTP/1.1\r\nHost: t\r\n\r\n"));
+    REQUIRE(readMessage(open, rest));
+    const std::string limits = "max_head_bytes = 1024\nhead_time_ms = 300\nidle_time_ms = " + std::to_string(IDLE_MS) + "\n";
+    fleet.publishSheet(limits + fleet.sheet(2, "", RULES));
+    const auto published = Clock::now();
+    char byte = 0;
+    setTimeLimit(open, 5000);
+    CHECK(::recv(open.fd(), &byte, 1, 0) == 0);
+    // A caller may still use a connection after four fifths of the limit.
+    CHECK(Clock::now() - published >= std::chrono::milliseconds(IDLE_MS * 4 / 5));
+    CHECK(Clock::now() - published < std::chrono::milliseconds(IDLE_MS + 2000));
+
+    const auto began = Clock::now();
+    CHECK(exchangeRaw(fleet.callers("a"), "GET /catalogue HTTP/1.1\r\nHost: a\r\n").starts_with("HTTP/1.1 408 "));
+    CHECK(Clock::now() - began >= std::chrono::milliseconds(300));
+    CHECK(exchangeRaw(fleet.callers("a"), "GET /catalogue HTTP/1.1\r\nX: " + std::string(1500, 'x') + "\r\n\r\n").starts_with("HTTP/1.1 431 "));
+    CHECK(stillServes(fleet));
+}
--- a/tests/config_test.cpp
+++ b/tests/config_test.cpp
@@ -80,6 +80,18 @@
     CHECK(sheet->rules.at(0).tries == 1);
 }
 
+TEST_CASE("Limits of callers are read from the sheet, or left to the settings")
+{
+    Reasons reasons;
+    const std::string sheet = GOOD_SHEET;
+    CHECK_FALSE(readSheet(sheet, reasons)->callers);
+    const auto limited = readSheet("max_head_bytes = 2000\nidle_time_ms = 15000\n" + sheet, reasons);
+    REQUIRE(limited);
+    CHECK(limited->callers == CallerLimits { ByteCount { 2000 }, CallerLimits {}.headTime, Millis { 15000 } });
+    CHECK_FALSE(readSheet("max_head_bytes = 10\n" + sheet, reasons));
+    CHECK(reasons.back().kind == ErrorKind::OutOfRange);
+}
+
 TEST_CASE("A faulty sheet is refused with line and kind")
 {
     const std::vector<Row> rows {
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -18,7 +18,7 @@
 
 std::string configuration(const std::string& routes, const std::string& version = "\"0000000c\"")
 {
-    return R"({"version":)" + version + R"(,"routes":{)" + routes + R"(},"services":{"s":{"maxConnections":77},"t":{}},"limits":{"maxBodyBytes":1000},"extra":1})";
+    return R"({"version":)" + version + R"(,"routes":{)" + routes + R"(},"services":{"s":{"maxConnections":77},"t":{}},"limits":{"maxBodyBytes":1000,"maxHeaderBytes":9000,"headerTimeoutS":2.5,"idleTimeoutS":20},"extra":1})";
 }
 
 const std::string ROUTE = R"("r":{"host":"A.example","prefix":"/x/","kind":"unsafe","timeoutS":2.5,"targetLatencyS":1.2,"priority":1,"service":"t","attempts":2})";
@@ -140,6 +140,7 @@
     CHECK(rule.objective == Millis { 1200 });
     CHECK(rule.service == 1);
     CHECK(rule.maxBody == ByteCount { 1000 });
+    CHECK(sheet->callers == CallerLimits { ByteCount { 9000 }, Millis { 2500 }, Millis { 20000 } });
     const SheetRule& split = sheet->rules[1];
     CHECK(split.kind == RequestKind::Idempotent);
     CHECK(split.tries == 3);
