--- a/src/shell/commands.cpp
+++ b/src/shell/commands.cpp
@@ -3,6 +3,7 @@
 #include "cornelwind/error.h"
 #include "cornelwind/settings.h"
 #include "cornelwind/sheet.h"
+#include "file_watch.h"
 #include "http_client.h"
 #include "instance.h"
 #include "log.h"
@@ -87,6 +88,7 @@
     {
         Adapter adapter;
         adapter.reload = [path] { return loadSettings(path); };
+        adapter.settingsChanged = [watch = std::make_shared<FileWatch>(path)] { return watch->changed(); };
         adapter.makeSource = makeWatch;
         if (settings.platformForm == PlatformForm::Sheet)
             return adapter;
--- /dev/null
+++ b/src/shell/file_watch.cpp
@@ -0,0 +1,34 @@
+#include "file_watch.h"
+
+#include <system_error>
+#include <utility>
+
+namespace cornelwind {
+
+FileWatch::FileWatch(std::string path)
+    : m_path(std::move(path))
+    , m_last(read())
+{
+}
+
+bool FileWatch::changed()
+{
+    const auto now = read();
+    if (!now || now == m_last)
+        return false;
+    m_last = now;
+    return true;
+}
+
+std::optional<FileWatch::Stamp> FileWatch::read() const
+{
+    std::error_code error;
+    if (!std::filesystem::is_regular_file(m_path, error))
+        return std::nullopt;
+    Stamp stamp { std::filesystem::last_write_time(m_path, error), 0 };
+    if (!error)
+        stamp.size = std::filesystem::file_size(m_path, error);
+    return error ? std::nullopt : std::optional(stamp);
+}
+
+} // namespace cornelwind
--- a/src/shell/instance.cpp
+++ b/src/shell/instance.cpp
@@ -246,6 +246,8 @@
     m_nextMaintenance = now + MAINTENANCE_INTERVAL;
     m_tracer.flush();
     m_requestLog.reportSuppressed();
+    if (m_adapter.settingsChanged && m_adapter.settingsChanged())
+        reload();
     m_client.closeIdle();
     m_peerSide.link().closeUnused(now);
 }
--- a/src/shell/instance.h
+++ b/src/shell/instance.h
@@ -36,6 +36,8 @@
     SourceMaker makeSource;
     /// Reads the settings again after they changed.
     SettingsLoader reload;
+    /// Tells whether the settings changed since it was asked last; nobody need signal it.
+    std::function<bool()> settingsChanged;
 };
 
 /// An entry instance: one reducer and the I/O around it, on one thread.
--- a/tests/interface_test.cpp
+++ b/tests/interface_test.cpp
@@ -19,6 +19,12 @@
 
 namespace {
 
+std::string readFile(const std::string& path)
+{
+    std::ifstream file(path);
+    return { std::istreambuf_iterator<char>(file), {} };
+}
+
 /// Collects what is posted to it.
 class Collector {
 public:
@@ -216,3 +222,19 @@
     ::close(fd);
     CHECK(waitFor([&] { return call(admin, "GET", "/status").has_value(); }, 3000));
 }
+
+TEST_CASE("Settings that change are read again without a signal, faulty ones are not taken over")
+{
+    Fleet fleet;
+    startOne(fleet);
+    const auto settings = readFile(fleet.settingsFile("a"));
+    const auto logged = [&](const char* text) { return readFile(fleet.logFile("a")).find(text) != std::string::npos; };
+    REQUIRE_FALSE(logged("Settings read again"));
+    std::ofstream(fleet.settingsFile("a")) << settings << "[nonsense\n";
+    CHECK(waitFor([&] { return logged("Settings cannot be read again"); }, 5000));
+    std::ofstream(fleet.settingsFile("a")) << settings << "# changed\n";
+    CHECK(waitFor([&] { return logged("Settings read again"); }, 5000));
+    const auto answer = call(fleet.callers("a"), "GET", "/catalogue");
+    REQUIRE(answer);
+    CHECK(answer->status() == 200);
+}
