--- a/tests/link_test.cpp
+++ b/tests/link_test.cpp
@@ -10,6 +10,7 @@
 
 #include <unistd.h>
 
+#include <array>
 #include <atomic>
 #include <memory>
 #include <optional>
@@ -139,10 +140,10 @@
 {
     const Endpoint address = freeEndpoint();
     // A full queue of connections drops opening packets.
-    std::vector<test::Socket> queued;
     std::optional<test::Socket> full = test::listenOn(address.host, address.port, 0);
-    for (int i = 0; i < 3; ++i)
-        queued.push_back(test::beginConnect(address.host, address.port));
+    std::array<test::Socket, 3> queued;
+    for (test::Socket& socket : queued)
+        socket = test::beginConnect(address.host, address.port);
     Sender sender(address);
     const auto until = [&](Duration time, const auto& done) {
         const auto end = std::chrono::steady_clock::now() + time;
@@ -157,7 +158,7 @@
     };
     until(std::chrono::milliseconds(1100), [] { return false; });
     full.reset();
-    queued.clear();
+    queued = {};
     Receiver receiver(address);
     REQUIRE(receiver.listening);
     CHECK(until(std::chrono::milliseconds(750), [&] { return receiver.count() > 0; }));
