--- a/include/cornelwind/belief.h
+++ b/include/cornelwind/belief.h
@@ -31,6 +31,13 @@
 /// @return the name used in logs
 const char* toString(Observation);
 
+/// Who saw what a send told.
+enum class Witness : std::uint8_t {
+    Self,
+    /// Another entry instance, whose path may be at fault instead of the server.
+    Peer,
+};
+
 /// What this entry instance believes of one backend server.
 struct Belief {
     /// Probability that the server is sick, when it was last updated.
@@ -117,7 +124,8 @@
     std::size_t size() const { return m_beliefs.size(); }
 
 private:
-    void update(Belief& belief, Observation observation, bool own, Time now);
+    bool take(ServerId server, Observation observation, Witness witness, Time sentAt, Time now);
+    void update(Belief& belief, Observation observation, Witness witness, Time now);
     void accuse(Belief& belief, Time sentAt, Time now);
     void clear(Belief& belief, Time sentAt);
     double sickNow(const Belief& belief, Time now) const;
--- a/src/decision/belief.cpp
+++ b/src/decision/belief.cpp
@@ -32,12 +32,14 @@
     // A peer's path may be at fault instead of the server.
     constexpr std::array<double, OBSERVATIONS> HEARD_RATIOS { 0.3, 800, 5, 1, 3, 6 };
 
-    // A second slow answer in a row: the first one told that the server may be of the slow kind.
+    // The same for a second slow answer in a row. The first one told that the server may be of the slow kind,
+    // where nearly all answers are slow; of a well one 1 to 2 in 100 are. A peer's word counts a quarter of it.
     constexpr double OWN_SLOW_AGAIN = 60;
     constexpr double HEARD_SLOW_AGAIN = 15;
 
-    double ratioOf(Observation observation, bool own, bool slowBefore)
+    double ratioOf(Observation observation, Witness witness, bool slowBefore)
     {
+        const bool own = witness == Witness::Self;
         if (observation == Observation::Slow && slowBefore)
             return own ? OWN_SLOW_AGAIN : HEARD_SLOW_AGAIN;
         return (own ? OWN_RATIOS : HEARD_RATIOS).at(static_cast<std::size_t>(observation));
@@ -65,7 +67,11 @@
 
     Belief initialBelief(Time now)
     {
-        return { INITIAL, now, false, {}, {}, {}, {}, false, false, PREVALENCE };
+        Belief belief;
+        belief.sick = INITIAL;
+        belief.at = now;
+        belief.prevalence = PREVALENCE;
+        return belief;
     }
 
 } // namespace
@@ -78,39 +84,36 @@
 
 bool BeliefTable::observe(ServerId server, Observation observation, Time sentAt, Time now)
 {
-    if (observation == Observation::Success && outdated(server, sentAt))
-        return false;
-    Belief& belief = m_beliefs.try_emplace(server, initialBelief(now)).first->second;
-    const bool suspected = belief.suspected;
-    update(belief, observation, true, now);
-    if (observation == Observation::Success) {
-        belief.answeredAt = std::max(belief.answeredAt, sentAt);
-        if (suspected)
-            clear(belief, sentAt);
-        return suspected;
-    }
-    if (belief.sick > SUSPICION)
-        accuse(belief, sentAt, now);
-    return true;
+    return take(server, observation, Witness::Self, sentAt, now);
 }
 
 void BeliefTable::hear(ServerId server, Observation observation, Time sentAt, Time now)
 {
-    if (observation == Observation::Success && outdated(server, sentAt))
-        return;
+    take(server, observation, Witness::Peer, sentAt, now);
+}
+
+bool BeliefTable::take(ServerId server, Observation observation, Witness witness, Time sentAt, Time now)
+{
+    const bool success = observation == Observation::Success;
+    if (success && outdated(server, sentAt))
+        return false;
     Belief& belief = m_beliefs.try_emplace(server, initialBelief(now)).first->second;
-    update(belief, observation, false, now);
-    if (observation == Observation::Success) {
-        belief.answeredAt = std::max(belief.answeredAt, sentAt);
-        return belief.suspected ? clear(belief, sentAt) : void();
+    const bool wasSuspected = belief.suspected;
+    update(belief, observation, witness, now);
+    if (!success) {
+        if (belief.sick > SUSPICION)
+            accuse(belief, sentAt, now);
+        return true;
     }
-    if (belief.sick > SUSPICION)
-        accuse(belief, sentAt, now);
+    belief.answeredAt = std::max(belief.answeredAt, sentAt);
+    if (wasSuspected)
+        clear(belief, sentAt);
+    return wasSuspected;
 }
 
-void BeliefTable::update(Belief& belief, Observation observation, bool own, Time now)
+void BeliefTable::update(Belief& belief, Observation observation, Witness witness, Time now)
 {
-    belief.sick = bayes(sickNow(belief, now), ratioOf(observation, own, belief.slow));
+    belief.sick = bayes(sickNow(belief, now), ratioOf(observation, witness, belief.slow));
     belief.slow = observation == Observation::Slow;
     belief.at = now;
 }
--- a/src/decision/belief_exchange.cpp
+++ b/src/decision/belief_exchange.cpp
@@ -12,7 +12,7 @@
     // Instances that start together know little yet, so that one answer may not be enough.
     constexpr std::size_t MEMBERS_TO_ASK = 3;
     // A process that did not run for so long has missed outcomes.
-    constexpr Duration LONGEST_TICK_GAP = std::chrono::seconds(1);
+    constexpr Duration LONGEST_PAUSE = std::chrono::seconds(1);
     // No request lasts longer.
     constexpr std::uint64_t MAX_AGO_US = 3'600'000'000;
     // About 16 KB.
@@ -38,7 +38,7 @@
 
 void BeliefExchange::onTick(Context& context)
 {
-    if (context.now() - m_lastTick > LONGEST_TICK_GAP)
+    if (context.now() - m_lastTick > LONGEST_PAUSE)
         m_asked.clear();
     m_lastTick = context.now();
     askForBeliefs(context);
@@ -65,11 +65,7 @@
     row.set_server(server.value());
     row.set_observation(static_cast<std::uint32_t>(observation));
     row.set_sent_ago_us(agoOf(sentAt, context.now()));
-    auto members = m_parts.members.live();
-    while (members.size() > MAX_PEERS)
-        members.erase(members.begin() + static_cast<std::ptrdiff_t>(context.random() % members.size()));
-    for (const MemberRecord* member : members)
-        m_parts.gossip.send(*member, std::make_shared<peer::Envelope>(*message), context);
+    m_parts.gossip.sendToSome(*message, MAX_PEERS, context);
 }
 
 void BeliefExchange::onOutcomes(const peer::Outcomes& outcomes, const MemberRecord& sender, Context& context)
--- a/src/decision/gossip.cpp
+++ b/src/decision/gossip.cpp
@@ -250,6 +250,15 @@
     context.emit(SendPeer { to.name, m_members.addressOf(to), std::move(message) });
 }
 
+void Gossip::sendToSome(const peer::Envelope& message, std::size_t most, Context& context)
+{
+    auto members = m_members.live();
+    while (members.size() > most)
+        members.erase(members.begin() + static_cast<std::ptrdiff_t>(context.random() % members.size()));
+    for (const MemberRecord* member : members)
+        send(*member, std::make_shared<peer::Envelope>(message), context);
+}
+
 void Gossip::sign(peer::Envelope& message) const
 {
     message.set_version(PROTOCOL_VERSION);
--- a/src/decision/gossip.h
+++ b/src/decision/gossip.h
@@ -46,6 +46,9 @@
     /// Sends a message to a member, with this entry instance as the sender.
     void send(const MemberRecord& to, std::shared_ptr<peer::Envelope> message, Context& context);
 
+    /// Sends a message to the live members; where there are more than `most`, to that many of them at random.
+    void sendToSome(const peer::Envelope& message, std::size_t most, Context& context);
+
     /// Names this entry instance as the sender.
     void sign(peer::Envelope& message) const;
 
--- a/src/decision/health.cpp
+++ b/src/decision/health.cpp
@@ -109,12 +109,7 @@
     const bool news = evidence.rows_size() || evidence.ejections_size() || evidence.crashes_size() || evidence.leaving_size() || toldBefore;
     if (!news)
         return;
-    auto members = m_parts.members.live();
-    // In a larger fleet each round goes to other peers.
-    while (members.size() > MAX_EVIDENCE_PEERS)
-        members.erase(members.begin() + static_cast<std::ptrdiff_t>(context.random() % members.size()));
-    for (const MemberRecord* member : members)
-        m_parts.gossip.send(*member, std::make_shared<peer::Envelope>(*message), context);
+    m_parts.gossip.sendToSome(*message, MAX_EVIDENCE_PEERS, context);
 }
 
 std::shared_ptr<peer::Envelope> Health::makeEvidence(const Digest& digest, Context& context)
--- a/src/decision/health.h
+++ b/src/decision/health.h
@@ -11,7 +11,6 @@
 #include "member_table.h"
 
 #include <memory>
-#include <set>
 #include <vector>
 
 namespace cornelwind {
@@ -19,8 +18,6 @@
 namespace peer {
     class Envelope;
     class Evidence;
-    class Loads;
-    class Outcomes;
 }
 
 /// Runs detection and ejection in step, and exchanges evidence, ejections, crashes and leaves with the peers.
--- a/src/decision/recovery_model.cpp
+++ b/src/decision/recovery_model.cpp
@@ -2,12 +2,12 @@
 
 #include <algorithm>
 #include <cmath>
-#include <numeric>
 
 namespace cornelwind {
 namespace {
 
     // Without data: as if this many recoveries had been seen in each interval, at the rate of a mean length of 5 s.
+    // Gray failures last seconds; half a recovery gives way to the first few that are seen.
     constexpr double PRIOR_RECOVERIES = 0.5;
     constexpr double PRIOR_MEAN_S = 5;
 
@@ -16,6 +16,24 @@
         return std::max(std::chrono::duration<double>(duration).count(), 0.0);
     }
 
+    bool isCount(double value)
+    {
+        return std::isfinite(value) && value >= 0;
+    }
+
+    bool isValid(const RecoveryModel::Interval& interval)
+    {
+        return isCount(interval.recoveries) && isCount(interval.sickSeconds);
+    }
+
+    double secondsIn(std::span<const RecoveryModel::Interval> intervals)
+    {
+        double sum = 0;
+        for (const RecoveryModel::Interval& interval : intervals)
+            sum += interval.sickSeconds;
+        return sum;
+    }
+
 } // namespace
 
 std::size_t RecoveryModel::intervalOf(double at)
@@ -69,12 +87,8 @@
 
 void RecoveryModel::adopt(std::span<const Interval> learnt)
 {
-    const auto isValid = [](const Interval& interval) { return std::isfinite(interval.recoveries) && std::isfinite(interval.sickSeconds) && interval.recoveries >= 0 && interval.sickSeconds >= 0; };
     if (learnt.size() != INTERVALS || !std::all_of(learnt.begin(), learnt.end(), isValid))
         return;
-    const auto secondsIn = [](std::span<const Interval> intervals) {
-        return std::accumulate(intervals.begin(), intervals.end(), 0.0, [](double sum, const Interval& interval) { return sum + interval.sickSeconds; });
-    };
     if (secondsIn(learnt) > secondsIn(m_intervals))
         std::copy(learnt.begin(), learnt.end(), m_intervals.begin());
 }
