--- a/src/shell/http_server.cpp
+++ b/src/shell/http_server.cpp
@@ -1,6 +1,7 @@
 #include "http_server.h"
 
 #include "http_client.h"
+#include "http_message.h"
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -8,7 +9,6 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/read.hpp>
-#include <boost/beast/http/status.hpp>
 #include <boost/beast/http/string_body.hpp>
 
 #include <array>
@@ -23,56 +23,10 @@
     namespace http = beast::http;
     using asio::ip::tcp;
     using ErrorCode = boost::system::error_code;
-    using Parser = http::request_parser<http::string_body>;
 
     constexpr std::size_t UNLIMITED_BODY = 64 * 1024 * 1024;
     constexpr std::string_view CONTINUE = "HTTP/1.1 100 Continue\r\n\r\n";
 
-    std::string serialize(const Answer& answer, bool withBody, bool keepAlive)
-    {
-        const auto reason = http::obsolete_reason(static_cast<http::status>(answer.status));
-        std::string text = "HTTP/1.1 " + std::to_string(answer.status) + " " + std::string(reason) + "\r\n";
-        for (const Header& header : answer.headers)
-            text += header.name + ": " + header.value + "\r\n";
-        const bool noBodyStatus = answer.status == 204 || answer.status == 304;
-        if (!noBodyStatus)
-            text += "Content-Length: " + std::to_string(answer.body.size()) + "\r\n";
-        text += keepAlive ? "\r\n" : "Connection: close\r\n\r\n";
-        if (withBody && !noBodyStatus)
-            text += answer.body;
-        return text;
-    }
-
-    // What the parser accepts but two implementations could read in two ways.
-    bool isAmbiguous(const Parser::value_type& request)
-    {
-        const auto encodings = request.count(http::field::transfer_encoding);
-        const auto length = request[http::field::content_length];
-        if (length.find_first_not_of("0123456789") != length.npos)
-            return true;
-        if (encodings > 1 || request.count(http::field::content_length) > 1 || request.count(http::field::host) > 1)
-            return true;
-        if (!encodings)
-            return false;
-        const bool chunked = beast::iequals(request[http::field::transfer_encoding], "chunked");
-        return !chunked || request.version() < 11 || request.count(http::field::content_length);
-    }
-
-    // The connection ended or failed, rather than the message being wrong.
-    bool isLost(ErrorCode error)
-    {
-        return error && (error == http::error::partial_message || error.category() == asio::error::get_system_category());
-    }
-
-    ErrorKind errorKindOf(ErrorCode error)
-    {
-        if (error == http::error::header_limit || error == http::error::buffer_overflow)
-            return ErrorKind::HeadTooLarge;
-        if (error == http::error::body_limit)
-            return ErrorKind::BodyTooLarge;
-        return ErrorKind::MalformedRequest;
-    }
-
 } // namespace
 
 const std::string* HttpHead::find(const char* name) const
@@ -196,7 +150,7 @@
         m_phase = Phase::Responding;
         const bool bodyRead = m_parser && m_parser->is_done();
         const bool keepAlive = bodyRead && m_keepAlive && !m_close && !m_listener->draining;
-        m_out = serialize(answer, m_head.method != "HEAD", keepAlive);
+        m_out = serializeAnswer(answer, m_head.method != "HEAD", keepAlive);
         asio::async_write(m_socket, asio::buffer(m_out), [self = shared_from_this(), keepAlive](ErrorCode error, std::size_t) {
             if (error || !keepAlive)
                 return self->lingerAndClose();
@@ -374,7 +328,7 @@
     asio::steady_timer m_timer;
     std::shared_ptr<Listener> m_listener;
     beast::flat_buffer m_buffer;
-    std::optional<Parser> m_parser;
+    std::optional<RequestParser> m_parser;
     HttpHead m_head;
     std::string m_out;
     std::array<char, 4096> m_discarded {};
