Give all instances their turn at a suspected server within a second

Cause: an instance waited 200 ms for each member of its zone (2 s in a zone of 11) and, for servers elsewhere, for each instance of the fleet (10 s at 53) before it tried. Test first (belief_test, four of eight rows fail without the change).

Ruled out: budget of trials, ejection, waiting requests (none).

--- a/src/decision/server_pool.cpp
+++ b/src/decision/server_pool.cpp
@@ -12,6 +12,17 @@
     constexpr double FREE_SHARE_SCALE = 0.07;
     constexpr double LEAST_GAIN = 1;
 
+    // Between the trials of two instances: the outcome of the first one arrives within milliseconds.
+    constexpr Duration LONGEST_TURN = std::chrono::milliseconds(200);
+    // All instances had their turn after this time, however many there are.
+    constexpr Duration ALL_TURNS = std::chrono::seconds(1);
+
+    Duration turnDelay(std::uint64_t position, std::uint32_t instances)
+    {
+        const std::uint32_t count = std::max<std::uint32_t>(instances, 1);
+        return std::min(LONGEST_TURN, ALL_TURNS / count) * static_cast<std::int64_t>(position % count);
+    }
+
     double gainOfServer(double freeShare)
     {
         return std::max(FULL_GAIN * std::exp(-freeShare / FREE_SHARE_SCALE), LEAST_GAIN);
@@ -188,12 +199,11 @@
 // One instance after the other may try a suspected server, those of its zone first, so that one trial is enough.
 Duration ServerPool::trialDelay(const Server& server) const
 {
-    constexpr Duration step = std::chrono::milliseconds(200);
     constexpr Duration otherZone = std::chrono::milliseconds(1500);
     const std::uint64_t hash = server.id.value();
     if (server.config.zone != m_zone)
-        return otherZone + step * static_cast<std::int64_t>((m_position.rank + hash) % std::max<std::uint32_t>(m_position.instances, 1));
-    return step * static_cast<std::int64_t>((m_position.zoneRank + hash) % std::max<std::uint32_t>(m_position.zoneInstances, 1));
+        return otherZone + turnDelay(m_position.rank + hash, m_position.instances);
+    return turnDelay(m_position.zoneRank + hash, m_position.zoneInstances);
 }
 
 std::vector<ServerLoad> ServerPool::ownLoads() const
--- a/tests/belief_test.cpp
+++ b/tests/belief_test.cpp
@@ -411,3 +411,32 @@
         CHECK(tried(row.latestMs + 10));
     }
 }
+
+// sarc-gate-grown, trouble-1 --seed 13, FLOOR: 11 instances of a zone took turns of 200 ms each.
+TEST_CASE("Every instance may try a suspected server within a second of the first one, however many there are")
+{
+    for (const std::uint32_t instances : { 1U, 5U, 11U, 60U }) {
+        for (const bool sameZone : { true, false }) {
+            Duration earliest = std::chrono::hours(1);
+            Duration latest {};
+            for (std::uint32_t rank = 0; rank < instances; ++rank) {
+                ServerPool pool = makePool(makeSheet(2, sameZone ? "a" : "b"));
+                pool.setPosition({ rank, instances, rank, instances });
+                const Server* server = pool.servers(0)[0];
+                pool.beliefs().observe(server->id, Observation::Failure, START, START);
+                int millis = 0;
+                PickContext pick = pickAt(after(millis));
+                pick.acceptableRisk = 0;
+                pick.trialCost = 0;
+                while (millis < 20000 && pool.pick(0, pick) != server) {
+                    millis += 10;
+                    pick.now = after(millis);
+                }
+                earliest = std::min<Duration>(earliest, std::chrono::milliseconds(millis));
+                latest = std::max<Duration>(latest, std::chrono::milliseconds(millis));
+            }
+            CAPTURE(instances, sameZone);
+            CHECK(latest - earliest <= std::chrono::milliseconds(1000));
+        }
+    }
+}
