Report which backend servers get no requests and why

The first live instance of each availability zone reports the servers of its zone that nobody there used for 2 s, at most one line for each service every 2 s (decision servers-idle); each instance has the gauge cornelwind_idle_servers{service,reason} and the field idle of its status.

--- a/include/cornelwind/belief.h
+++ b/include/cornelwind/belief.h
@@ -103,6 +103,9 @@
     ///     a request sent at the same time or later failed
     bool isStale(ServerId server, Time sentAt) const;
 
+    /// @return the belief about a server, or null without any observation
+    const Belief* find(ServerId server) const;
+
     /// @return probability that the server is unhealthy now
     double unhealthyProbability(ServerId server, Time now) const;
 
--- a/include/cornelwind/decision.h
+++ b/include/cornelwind/decision.h
@@ -44,10 +44,12 @@
     ServerSuspected,
     /// The suspicion of a backend server ended, here or at a peer.
     ServerCleared,
+    /// Backend servers of a service get no requests while others do.
+    ServersIdle,
 };
 
 /// Number of values of `DecisionKind`.
-inline constexpr std::size_t DECISION_KINDS = 17;
+inline constexpr std::size_t DECISION_KINDS = 18;
 
 /// @return the name used in logs, metrics and explanations
 const char* toString(DecisionKind);
--- a/include/cornelwind/reducer.h
+++ b/include/cornelwind/reducer.h
@@ -4,6 +4,7 @@
 #include "cornelwind/decision.h"
 #include "cornelwind/effect.h"
 #include "cornelwind/event.h"
+#include "cornelwind/idle_reason.h"
 #include "cornelwind/key.h"
 #include "cornelwind/settings.h"
 #include "cornelwind/sheet.h"
@@ -39,6 +40,9 @@
     double badShare = 0;
     /// Share of bad outcomes expected of a healthy server, from 0 to 1.
     double expectedShare = 0;
+    /// Why it gets no requests; empty if an entry instance of this availability zone has sent it one in the last
+    /// 2 s, or if it is in another availability zone.
+    std::optional<IdleReason> idle;
 };
 
 /// State of another entry instance, as shown to operators.
--- a/include/cornelwind/server_pool.h
+++ b/include/cornelwind/server_pool.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "cornelwind/belief.h"
+#include "cornelwind/idle_reason.h"
 #include "cornelwind/peer_load_table.h"
 #include "cornelwind/selector.h"
 #include "cornelwind/sheet.h"
@@ -56,6 +57,8 @@
     std::uint32_t ejectionCount = 0;
     /// Latest time at which an entry instance of the zone is known to have sent it a request.
     Time lastSentAt;
+    /// When this entry instance first learned of it.
+    Time knownSince;
 };
 
 /// What the choice of a backend server for one request depends on.
@@ -146,6 +149,10 @@
     ///     entry instance and the others of the zone
     bool isAtCapacity(const Server& server) const { return server.inFlight + m_peerLoads.peerInFlight(server.id) >= server.config.slots.value(); }
 
+    /// @param service index into the services of the sheet in force
+    /// @return why this entry instance sends no request to a server of the service at `now`
+    IdleReason idleReason(std::uint32_t service, const Server& server, Time now) const;
+
     /// @return whether any server of the service accepts requests, with or without free slots
     bool hasUsable(std::uint32_t service) const;
 
@@ -160,6 +167,7 @@
 
     /// @return the servers of a service, in the order of the sheet
     std::span<Server* const> servers(std::uint32_t service) const;
+    Placement placement(std::uint32_t service) const { return m_placements[service]; }
     std::size_t serviceCount() const { return m_services.size(); }
     std::size_t size() const { return m_servers.size(); }
 
@@ -168,6 +176,9 @@
     Server* pickByCost(std::uint32_t service, const PickContext& context);
     Duration trialDelay(const Server& server) const;
     Server* pickForTrial(std::uint32_t service, const PickContext& context, bool hasOther);
+    /// @param riskLimit highest risk at which a trial pays off
+    /// @return why this entry instance does not try a suspected server now, or nothing if it may
+    std::optional<IdleReason> reasonAgainstTrial(const Server& server, double riskLimit, Time now) const;
     double freeShare(std::uint32_t service) const;
     void shareSlotsInZone(std::vector<Server*>& servers);
     void shareSlotsInFleet(std::vector<Server*>& servers);
@@ -178,6 +189,8 @@
     std::unordered_map<ServerId, Server> m_servers;
     std::vector<std::vector<Server*>> m_services;
     std::vector<Placement> m_placements;
+    /// By service: when a trial was last due but not affordable.
+    std::vector<Time> m_trialBudgetEmptyAt;
     std::vector<Candidate> m_candidates;
     std::unique_ptr<Selector> m_selector;
     ZoneName m_zone;
--- a/src/decision/belief.cpp
+++ b/src/decision/belief.cpp
@@ -196,6 +196,12 @@
     belief.prevalence = std::clamp(share, MIN_PREVALENCE, MAX_PREVALENCE);
 }
 
+const Belief* BeliefTable::find(ServerId server) const
+{
+    const auto found = m_beliefs.find(server);
+    return found == m_beliefs.end() ? nullptr : &found->second;
+}
+
 double BeliefTable::unhealthyProbability(ServerId server, Time now) const
 {
     const auto found = m_beliefs.find(server);
--- a/src/decision/health.cpp
+++ b/src/decision/health.cpp
@@ -36,6 +36,7 @@
     : m_dependencies(dependencies)
     , m_ejector(dependencies.pool, m_detector)
     , m_exchange({ dependencies.pool, dependencies.members, dependencies.gossip })
+    , m_idleReport(dependencies.pool, dependencies.members)
 {
 }
 
@@ -84,6 +85,7 @@
     m_dependencies.quarantine.expire(context.now());
     sendEvidence(digest, context);
     probeLowTrafficServers(context);
+    m_idleReport.onTick(context);
 }
 
 // Only the slots of servers in service are divided among the entry instances, so that no instance has a share that it
--- a/src/decision/health.h
+++ b/src/decision/health.h
@@ -7,6 +7,7 @@
 #include "cornelwind/quarantine.h"
 #include "ejector.h"
 #include "gossip.h"
+#include "idle_report.h"
 #include "member_table.h"
 #include "send_observer.h"
 
@@ -81,6 +82,7 @@
     Detector m_detector;
     Ejector m_ejector;
     BeliefExchange m_exchange;
+    IdleReport m_idleReport;
     SheetPtr m_sheet;
     /// Crashes to be sent with the next evidence.
     std::vector<Fingerprint> m_crashesToAnnounce;
--- a/src/decision/reducer.cpp
+++ b/src/decision/reducer.cpp
@@ -338,9 +338,11 @@
     for (std::uint32_t i = 0; i < m_pool.serviceCount(); ++i) {
         for (const Server* server : m_pool.servers(i)) {
             const ServerAssessment assessment = m_health.assess(server->id);
+            const bool idle = m_pool.placement(i) == Placement::ExpectedCost && server->config.zone == m_members.zone() && IdleReport::isIdle(*server, now);
             status.servers.push_back({ server->config.name, server->service, toString(server->state), server->avoided, server->inFlight,
                 server->config.slots.value(), server->ownSlots, assessment.score,
-                ejectionThreshold(m_activeSheet.current()->services[i].weighting), assessment.badShare, assessment.expectedShare });
+                ejectionThreshold(m_activeSheet.current()->services[i].weighting), assessment.badShare, assessment.expectedShare,
+                idle ? std::optional(m_pool.idleReason(i, *server, now)) : std::nullopt });
         }
     }
     return status;
--- a/src/decision/server_pool.cpp
+++ b/src/decision/server_pool.cpp
@@ -27,9 +27,11 @@
         return std::min(MAX_TURN_INTERVAL, MAX_TURN_CYCLE / count) * static_cast<std::int64_t>(position % count);
     }
 
-    double capacityGain(double freeShare)
+    // Highest risk at which the expected gain of a trial outweighs its expected cost: (1 - risk) * gain >= risk * trialCost.
+    double trialRiskLimit(double freeShare, double trialCost)
     {
-        return std::max(MAX_GAIN * std::exp(-freeShare / FREE_SHARE_SCALE), MIN_GAIN);
+        const double gain = std::max(MAX_GAIN * std::exp(-freeShare / FREE_SHARE_SCALE), MIN_GAIN);
+        return gain / (gain + trialCost);
     }
 
 } // namespace
@@ -73,6 +75,8 @@
             const bool isNew = server.id != id || server.config.incarnation != config.incarnation;
             if (isNew)
                 m_beliefs.forget(id);
+            if (isNew)
+                server.knownSince = now;
             server.id = id;
             server.config = config;
             server.service = service.name;
@@ -92,6 +96,7 @@
             server.state = ServerState::Removed;
     }
     std::erase_if(m_servers, [](const auto& row) { return row.second.state == ServerState::Removed && !row.second.inFlight; });
+    m_trialBudgetEmptyAt.resize(m_services.size());
     redistributeSlots();
 }
 
@@ -137,26 +142,52 @@
     return trial ? trial : best;
 }
 
-// A trial pays off if its expected gain exceeds its expected cost: (1 - risk) * gain >= risk * trialCost.
 // A request that no other server can take may be a trial even if the trial budget is used up.
 Server* ServerPool::pickForTrial(std::uint32_t service, const PickContext& context, bool hasOther)
 {
-    if (hasOther && !context.trialBudgeted)
-        return nullptr;
-    const double gain = capacityGain(hasOther ? freeShare(service) : 0);
+    const double riskLimit = trialRiskLimit(hasOther ? freeShare(service) : 0, context.trialCost);
     Server* best = nullptr;
-    double lowestRisk = gain / (gain + context.trialCost);
+    double lowestRisk = riskLimit;
     for (Server* server : m_services[service]) {
-        const Time at = context.now - trialDelay(*server);
-        if (server->inFlight || !m_beliefs.dueForTrial(server->id, at) || !accepts(*server, context))
+        if (server->inFlight || !m_beliefs.suspected(server->id) || !accepts(*server, context) || reasonAgainstTrial(*server, riskLimit, context.now))
             continue;
-        const double risk = m_beliefs.unhealthyProbability(server->id, at);
+        const double risk = m_beliefs.unhealthyProbability(server->id, context.now - trialDelay(*server));
         if (risk > lowestRisk)
             continue;
         lowestRisk = risk;
         best = server;
     }
-    return best;
+    if (!best || !hasOther || context.trialBudgeted)
+        return best;
+    m_trialBudgetEmptyAt[service] = context.now;
+    return nullptr;
+}
+
+std::optional<IdleReason> ServerPool::reasonAgainstTrial(const Server& server, double riskLimit, Time now) const
+{
+    if (!m_beliefs.dueForTrial(server.id, now))
+        return IdleReason::OnHold;
+    const Time at = now - trialDelay(server);
+    if (!m_beliefs.dueForTrial(server.id, at))
+        return IdleReason::NotItsTurn;
+    if (m_beliefs.unhealthyProbability(server.id, at) > riskLimit)
+        return IdleReason::ProbablyUnhealthy;
+    return std::nullopt;
+}
+
+IdleReason ServerPool::idleReason(std::uint32_t service, const Server& server, Time now) const
+{
+    constexpr Duration budgetReportTime = std::chrono::seconds(1);
+    constexpr double orderTrialCost = 1;
+    if (server.state != ServerState::Serving || server.avoided)
+        return IdleReason::NotServing;
+    if (server.busyUntil > now)
+        return IdleReason::Shedding;
+    if (!m_beliefs.suspected(server.id))
+        return IdleReason::NoRequest;
+    if (const auto reason = reasonAgainstTrial(server, trialRiskLimit(freeShare(service), orderTrialCost), now))
+        return *reason;
+    return now - m_trialBudgetEmptyAt[service] < budgetReportTime ? IdleReason::NoTrialBudget : IdleReason::NoRequest;
 }
 
 // Share of the slots of a service that are free on serving servers that are not suspected.
--- a/src/shell/admin_handler.cpp
+++ b/src/shell/admin_handler.cpp
@@ -38,6 +38,7 @@
             { "threshold", server.threshold },
             { "bad_share", server.badShare },
             { "expected_share", server.expectedShare },
+            { "idle", server.idle ? toString(*server.idle) : "" },
         };
     }
 
--- a/src/shell/metrics.cpp
+++ b/src/shell/metrics.cpp
@@ -5,6 +5,8 @@
 
 #include <algorithm>
 #include <iterator>
+#include <map>
+#include <utility>
 #include <vector>
 
 namespace cornelwind {
@@ -61,6 +63,22 @@
         families.counter("cornelwind_sheds_total", "Tries that a backend server shed without running the request.", counters.sheds);
     }
 
+    void addIdleServers(MetricFamilies& families, const Status& status)
+    {
+        std::map<std::pair<std::string, IdleReason>, std::size_t> counts;
+        for (const ServerStatus& server : status.servers) {
+            if (server.idle)
+                ++counts[{ server.service.value(), *server.idle }];
+        }
+        MetricFamily& idle = families.family("cornelwind_idle_servers", "Backend servers of the availability zone without a request for 2 s, by reason.", MetricType::Gauge);
+        for (const auto& [key, count] : counts) {
+            ClientMetric metric;
+            metric.label = { { "service", key.first }, { "reason", toString(key.second) } };
+            metric.gauge.value = static_cast<double>(count);
+            idle.metric.push_back(metric);
+        }
+    }
+
     void addStatus(MetricFamilies& families, const Status& status)
     {
         families.gauge("cornelwind_ready", "1 if ready to serve callers, else 0.", status.ready);
@@ -80,6 +98,7 @@
             metric.gauge.value = 1;
             states.metric.push_back(metric);
         }
+        addIdleServers(families, status);
         MetricFamily& members = families.family("cornelwind_member_state", "1 for the current state of another entry instance.", MetricType::Gauge);
         for (const MemberStatus& member : status.members) {
             ClientMetric metric;
--- a/tests/idle_server_test.cpp
+++ b/tests/idle_server_test.cpp
@@ -66,6 +66,7 @@
             }
             CAPTURE(day.name, seed, fleet.requests(), fleet.served());
             CAPTURE(worst.from, worst.sound, worst.idle, worst.requests, worst.unserved);
+            UNSCOPED_INFO(fleet.idleReports(worst.from, 2));
             CHECK(broken == 0);
         }
     }
--- a/tests/support/simulated_fleet.cpp
+++ b/tests/support/simulated_fleet.cpp
@@ -103,6 +103,17 @@
         return reports;
     }
 
+    std::string idleReports(double from, double seconds) const
+    {
+        std::string text;
+        for (const Decision& decision : m_idleReports) {
+            const double at = std::chrono::duration<double>(decision.at - m_start).count();
+            if (within({ from, from + seconds }, at))
+                text += std::to_string(at) + " " + decision.evidence + "\n";
+        }
+        return text;
+    }
+
     std::size_t requests() const { return m_requests.size(); }
     std::size_t served() const
     {
@@ -277,6 +288,12 @@
     {
     }
 
+    void handle(std::size_t, const ReportDecision& effect)
+    {
+        if (effect.decision.kind == DecisionKind::ServersIdle)
+            m_idleReports.push_back(effect.decision);
+    }
+
     void handle(std::size_t, const RelayResponse& effect) { m_requests[effect.request.value()].served = effect.response->status == m_success->status; }
 
     void handle(std::size_t from, const SendPeerMessage& effect)
@@ -415,6 +432,7 @@
     std::unordered_map<ServerId, std::size_t> m_indexOf;
     std::vector<Instance> m_instances;
     std::vector<CallerRequest> m_requests;
+    std::vector<Decision> m_idleReports;
     const ResponsePtr m_success = std::make_shared<const Response>(Response { 200, {}, {} });
     const ResponsePtr m_failure = std::make_shared<const Response>(Response { 500, {}, {} });
     const ResponsePtr m_shed = std::make_shared<const Response>(Response { 503, {}, {} });
@@ -437,6 +455,11 @@
     return m_play->windows();
 }
 
+std::string SimulatedFleet::idleReports(double from, double seconds) const
+{
+    return m_play->idleReports(from, seconds);
+}
+
 std::size_t SimulatedFleet::requests() const
 {
     return m_play->requests();
--- a/tests/support/simulated_fleet.h
+++ b/tests/support/simulated_fleet.h
@@ -76,6 +76,9 @@
     /// @return all windows, one each tenth of a second
     std::vector<WindowReport> windows() const;
 
+    /// @return what the fleet reported of idle servers from the start of a window to `seconds` later, one line each
+    std::string idleReports(double from, double seconds) const;
+
     /// @return number of requests, and of those that got the response of a server
     std::size_t requests() const;
     std::size_t served() const;
