End calls to servers that send bytes without end, and bound what is kept of them

What callers would see: a server in trouble may send bytes that are no answer without end.

Change: the client buffers at most 128 KiB, counts the bytes of chunk headers and trailers, skips at most 8 interim or late responses, and calls an unlimited body broken unless its length is stated. An idle connection is closed as soon as the server sends or closes.

--- a/src/shell/http_client.cpp
+++ b/src/shell/http_client.cpp
@@ -33,6 +33,12 @@
     constexpr std::size_t MAX_IDLE_PER_ADDRESS = 8;
     constexpr Duration MAX_IDLE_TIME = std::chrono::seconds(20);
     constexpr std::size_t MAX_RESPONSE_HEAD_BYTES = 64 * 1024;
+    // Limits the bytes received but not yet parsed: a head, or a chunk header or trailer.
+    constexpr std::size_t MAX_BUFFERED_BYTES = 2 * MAX_RESPONSE_HEAD_BYTES;
+    // Limits chunk headers and trailers to the size of the largest body.
+    constexpr std::size_t CHUNKED_SIZE_FACTOR = 2;
+    // Interim responses, and late responses to earlier requests, before the expected response.
+    constexpr int MAX_SKIPPED_RESPONSES = 8;
 
     // Keep-alive detects a vanished remote host after KEEPALIVE_IDLE_S + KEEPALIVE_PROBES * KEEPALIVE_INTERVAL_S = 3 s.
     constexpr int KEEPALIVE_IDLE_S = 1;
@@ -44,9 +50,9 @@
 
     struct IdleConnection {
         tcp::socket socket;
-        Time since;
         Time until;
     };
+    using IdleConnectionPtr = std::shared_ptr<IdleConnection>;
 
     // Returns how long to pool a connection: `timeout=N` (seconds) of the Keep-Alive header less the margin,
     // at most MAX_IDLE_TIME, which also applies if the header states no timeout.
@@ -119,10 +125,12 @@
     {
         auto& idle = m_idle[toString(address)];
         while (!idle.empty()) {
-            IdleConnection connection = std::move(idle.back());
+            const IdleConnectionPtr connection = std::move(idle.back());
             idle.pop_back();
-            if (steadyNow() < connection.until && isOpenAndIdle(connection.socket))
-                return std::move(connection.socket);
+            ErrorCode ignored;
+            connection->socket.cancel(ignored);
+            if (steadyNow() < connection->until && isOpenAndIdle(connection->socket))
+                return std::move(connection->socket);
         }
         return std::nullopt;
     }
@@ -130,21 +138,35 @@
     void release(const Endpoint& address, tcp::socket socket, Duration idleTime)
     {
         auto& idle = m_idle[toString(address)];
-        if (idle.size() < MAX_IDLE_PER_ADDRESS)
-            idle.push_back({ std::move(socket), steadyNow(), steadyNow() + idleTime });
+        if (idle.size() >= MAX_IDLE_PER_ADDRESS)
+            return;
+        const auto connection = std::make_shared<IdleConnection>(IdleConnection { std::move(socket), steadyNow() + idleTime });
+        idle.push_back(connection);
+        closeWhenReadable(connection);
     }
 
     void closeExpired()
     {
         for (auto& [address, idle] : m_idle)
-            std::erase_if(idle, [](const IdleConnection& connection) { return steadyNow() >= connection.until; });
+            std::erase_if(idle, [](const IdleConnectionPtr& connection) { return steadyNow() >= connection->until || !connection->socket.is_open(); });
         std::erase_if(m_idle, [](const auto& row) { return row.second.empty(); });
     }
 
     std::unordered_map<CallId, std::weak_ptr<Exchange>> running;
 
 private:
-    std::map<std::string, std::vector<IdleConnection>> m_idle;
+    // No response is due on an idle connection, so data or a close by the server ends it.
+    static void closeWhenReadable(const IdleConnectionPtr& connection)
+    {
+        connection->socket.async_wait(tcp::socket::wait_read, [weak = std::weak_ptr(connection)](ErrorCode error) {
+            const IdleConnectionPtr readable = weak.lock();
+            ErrorCode ignored;
+            if (!error && readable)
+                readable->socket.close(ignored);
+        });
+    }
+
+    std::map<std::string, std::vector<IdleConnectionPtr>> m_idle;
 };
 
 /// A running call, from connecting to the complete response.
@@ -234,22 +256,33 @@
             if (error)
                 return self->finish(self->resultOf(error));
             if (self->m_parser->get().result_int() < 200 && self->m_parser->get().result_int() != 101)
-                return self->readHead();
-            self->readBody();
+                return self->skipResponse();
+            self->beginBody();
         });
     }
 
-    void readBody()
+    void beginBody()
     {
         // Without a stated length the response ends when the connection closes, so a truncated one may look complete.
         // It is refused unless the call allows it; then it is complete only after an orderly close.
         if (m_parser->need_eof() && !m_call.allowCloseDelimited)
             return finish(TryResult::Broken);
         m_parser->body_limit(m_call.maxResponse);
-        http::async_read(m_socket, m_buffer, *m_parser, [self = shared_from_this()](ErrorCode error, std::size_t) {
+        m_bodyBytes = 0;
+        readBody();
+    }
+
+    void readBody()
+    {
+        if (m_parser->is_done())
+            return complete();
+        http::async_read_some(m_socket, m_buffer, *m_parser, [self = shared_from_this()](ErrorCode error, std::size_t read) {
+            self->m_bodyBytes += read;
             if (error)
                 return self->finish(self->resultOf(error));
-            self->complete();
+            if (self->m_bodyBytes > CHUNKED_SIZE_FACTOR * self->m_call.maxResponse + MAX_RESPONSE_HEAD_BYTES)
+                return self->finish(TryResult::Broken);
+            self->readBody();
         });
     }
 
@@ -283,6 +316,14 @@
     {
         if (!m_reused || m_parser->need_eof())
             return finish(TryResult::Broken);
+        skipResponse();
+    }
+
+    // Reads the next response instead, unless so many came already that the server does not stop sending them.
+    void skipResponse()
+    {
+        if (++m_skippedResponses > MAX_SKIPPED_RESPONSES)
+            return finish(TryResult::Broken);
         readHead();
     }
 
@@ -295,8 +336,9 @@
 
     TryResult resultOf(ErrorCode error) const
     {
+        // Without a stated length, a body beyond the limit may have no end and is no complete response.
         if (error == http::error::body_limit)
-            return TryResult::TooLarge;
+            return m_parser->content_length() ? TryResult::TooLarge : TryResult::Broken;
         if (error == http::error::end_of_stream || error == http::error::partial_message || error.category() == asio::error::get_system_category())
             return connectionLostResult();
         return error == asio::error::eof ? connectionLostResult() : TryResult::Broken;
@@ -329,10 +371,13 @@
     HttpCall m_call;
     CallHandler m_handler;
     std::string m_head;
-    beast::flat_buffer m_buffer;
+    beast::flat_buffer m_buffer { MAX_BUFFERED_BYTES };
     std::optional<http::response_parser<http::string_body>> m_parser;
     ResponsePtr m_response;
     Duration m_idleTime {};
+    /// Bytes received since the head of the response.
+    std::size_t m_bodyBytes = 0;
+    int m_skippedResponses = 0;
     bool m_connected = false;
     bool m_sentAll = false;
     bool m_reused = false;
