--- a/src/decision/loss_table.cpp
+++ b/src/decision/loss_table.cpp
@@ -6,8 +6,8 @@
     constexpr Duration WINDOW = std::chrono::seconds(1);
     // Fewer requests say little about the share.
     constexpr std::uint32_t MIN_REQUESTS = 10;
-    // Half of the tenth that the users tolerate: trials may lose as much again.
-    constexpr double HIGH_SHARE = 0.05;
+    // Below a tenth, since trials that are no longer held back lose requests too.
+    constexpr double HIGH_SHARE = 0.08;
 
 } // namespace
 
