Revert the visits to idle servers by all instances of a zone; bound trials from a tenth of lost requests

Idle servers that are not suspected stay with their slot owners; that nothing bounds their wait if those fail is open.

Tried with it and reverted: the slots of the servers of a zone without live instances divided among the whole fleet.

The bound on trials holds from a tenth of lost requests, the users' own figure.

--- a/include/cornelwind/selector.h
+++ b/include/cornelwind/selector.h
@@ -35,8 +35,9 @@
     /// Slots reserved for this entry instance.
     std::uint32_t ownSlots = 0;
     std::uint32_t slots = 1;
-    /// Whether this request is to find out whether an idle server is healthy.
-    bool explores = false;
+    /// Time since an entry instance of the zone last sent it a request; zero if this request must not be
+    /// used to find out whether an idle server is healthy.
+    Duration idleTime {};
     /// Cost of sending the request to an unhealthy server; 1 is the value of a response in time.
     double riskWeight = 1;
 };
--- a/include/cornelwind/server_pool.h
+++ b/include/cornelwind/server_pool.h
@@ -176,8 +176,6 @@
 private:
     Server* pickBySlots(std::uint32_t service, const PickContext& context);
     Server* pickByCost(std::uint32_t service, const PickContext& context);
-    /// @return whether the request is to visit an idle server that is not suspected
-    bool explores(const Server& server, const PickContext& context) const;
     /// @return time from the first turn to try the server to that of this entry instance
     Duration turn(const Server& server) const;
     /// @return delay of the trials of this entry instance: its turn, and more for servers of other availability zones
--- a/src/decision/loss_table.cpp
+++ b/src/decision/loss_table.cpp
@@ -6,8 +6,7 @@
     constexpr Duration WINDOW = std::chrono::seconds(1);
     // Fewer requests say little about the share.
     constexpr std::uint32_t MIN_REQUESTS = 10;
-    // Below a tenth, since trials that are no longer held back lose requests too.
-    constexpr double HIGH_SHARE = 0.08;
+    constexpr double HIGH_SHARE = 0.1;
 
 } // namespace
 
--- a/src/decision/selector.cpp
+++ b/src/decision/selector.cpp
@@ -81,14 +81,18 @@
     constexpr double FULL_SERVER_COST = 0.1;
     // Random cost between 0 and this value that breaks ties.
     constexpr double TIE_BREAK_RANGE = 0.01;
-    // Preference of an idle server over all others in the zone.
+    // A server that is not suspected and has a free reserved slot is preferred after this time without a request.
+    constexpr Duration MAX_IDLE_TIME = std::chrono::seconds(1);
     constexpr double EXPLORATION_BONUS = 0.05;
 
 } // namespace
 
 double expectedCost(const PlacementInput& input, std::uint64_t random)
 {
-    double cost = input.explores ? -EXPLORATION_BONUS : input.risk * input.riskWeight;
+    // A server without recent requests may have become unhealthy unnoticed, and a healthy server must
+    // not stay unused.
+    const bool explores = input.ownInFlight < input.ownSlots && input.idleTime > MAX_IDLE_TIME;
+    double cost = explores ? -EXPLORATION_BONUS : input.risk * input.riskWeight;
     if (!input.sameZone)
         cost += OTHER_ZONE_COST;
     if (input.ownInFlight >= input.ownSlots)
--- a/src/decision/server_pool.cpp
+++ b/src/decision/server_pool.cpp
@@ -96,7 +96,7 @@
         if (totalInFlight >= server->config.slots.value() + context.overcommit)
             continue;
         const PlacementInput input { m_beliefs.unhealthyProbability(server->id, context.now), server->config.zone == m_zone, totalInFlight, server->inFlight, server->ownSlots, server->config.slots.value(),
-            explores(*server, context), context.riskWeight };
+            context.explorationAllowed && !m_beliefs.suspected(server->id) ? context.now - server->lastSentAt : Duration {}, context.riskWeight };
         if (input.risk > std::max(context.acceptableRisk, lowestRisk + context.acceptableRisk / 2))
             continue;
         random = random * 6364136223846793005ULL + 1442695040888963407ULL;
