--- a/src/decision/idle_report.cpp
+++ b/src/decision/idle_report.cpp
@@ -7,8 +7,8 @@
 namespace cornelwind {
 namespace {
 
-    // Limits a report to about 600 bytes.
-    constexpr std::size_t MAX_NAMED_SERVERS = 6;
+    // The log cuts off longer reports.
+    constexpr std::size_t MAX_NAMED_SERVERS = 2;
 
     // Returns ", WORD 3.2 s ago", or nothing if the time is not set.
     std::string describeAge(const char* word, Time time, Time now)
@@ -55,6 +55,7 @@
         if (isIdle(*server, context.now()))
             idle.push_back({ server, m_pool.idleReason(service, *server, context.now()) });
     }
+    std::sort(idle.begin(), idle.end(), [](const IdleServer& a, const IdleServer& b) { return a.server->lastSentAt < b.server->lastSentAt; });
     // A service without any request has no load.
     if (!idle.empty() && idle.size() < servers)
         context.report(DecisionKind::ServersIdle, idle.front().server->service.value(), describe(idle, servers, context.now()), "no request for 2 s");
@@ -81,7 +82,7 @@
     const Belief* belief = m_pool.beliefs().find(idle.server->id);
     if (!belief)
         return text;
-    text += ", unhealthy with probability " + std::to_string(static_cast<int>(m_pool.beliefs().unhealthyProbability(idle.server->id, now) * 100)) + "%";
+    text += ", risk " + std::to_string(static_cast<int>(m_pool.beliefs().unhealthyProbability(idle.server->id, now) * 100)) + "%";
     return text + describeAge("failed", belief->lastFailureSentAt, now) + describeAge("answered", belief->lastSuccessSentAt, now);
 }
 
--- a/tests/belief_test.cpp
+++ b/tests/belief_test.cpp
@@ -441,3 +441,51 @@
         }
     }
 }
+
+TEST_CASE("While requests are lost, the wait of a suspected server for a trial is bounded whatever its risk and the budget")
+{
+    struct Row {
+        const char* name;
+        bool bounded;
+        // Times of the failures after START; the last one is the last request of the server.
+        std::vector<int> failuresMs;
+        int earliestMs;
+        int latestMs;
+    };
+    const Row rows[] = {
+        { "not bounded", false, { 0 }, 20000, 20000 },
+        { "one failure", true, { 0 }, 3000, 4000 },
+        { "several failures", true, { 0, 3000, 6000 }, 9000, 10000 },
+        { "a failure of 40 s", true, { 0, 40000 }, 50000, 51000 },
+    };
+    constexpr std::uint32_t instances = 11;
+    for (const Row& row : rows) {
+        for (std::uint32_t rank = 0; rank < instances; ++rank) {
+            CAPTURE(row.name, rank);
+            ServerPool pool = makePool(makeSheet(3));
+            pool.setPosition({ rank, instances, rank, instances });
+            const Server* server = pool.servers(0)[0];
+            for (const int failure : row.failuresMs)
+                pool.beliefs().observe(server->id, Observation::Failure, after(failure), after(failure));
+            const auto isTried = [&](int millis) {
+                PickContext pick = pickAt(after(millis));
+                pick.acceptableRisk = 0.35;
+                pick.trialBudgeted = false;
+                pick.trialWaitBounded = row.bounded;
+                return pool.pick(0, pick) == server;
+            };
+            CHECK_FALSE(isTried(row.earliestMs - 10));
+            CHECK(isTried(row.latestMs) == row.bounded);
+        }
+    }
+}
+
+TEST_CASE("Of the servers whose wait for a trial is over, the one that has waited longest is tried first")
+{
+    ServerPool pool = makePool(makeSheet(3));
+    pool.beliefs().observe(pool.servers(0)[1]->id, Observation::Failure, START, START);
+    pool.beliefs().observe(pool.servers(0)[0]->id, Observation::Failure, after(500), after(500));
+    PickContext pick = pickAt(after(6000));
+    pick.trialWaitBounded = true;
+    CHECK(pool.pick(0, pick) == pool.servers(0)[1]);
+}
--- a/tests/support/simulated_fleet.cpp
+++ b/tests/support/simulated_fleet.cpp
@@ -233,6 +233,7 @@
         m_instances.resize(m_day.instances);
         for (std::size_t i = 0; i < m_instances.size(); ++i) {
             m_instances[i].zone = i % m_day.zones;
+            m_instanceAt[instanceAddress(i).host] = i;
             m_instances[i].weight = 0.5 + uniform();
             Settings settings;
             settings.name = list.instances[i].name;
@@ -305,11 +306,10 @@
 
     void handle(std::size_t from, const SendPeerMessage& effect)
     {
-        std::size_t to = 0;
-        while (to < m_instances.size() && !(instanceAddress(to) == effect.address))
-            ++to;
-        if (to == m_instances.size())
+        const auto found = m_instanceAt.find(effect.address.host);
+        if (found == m_instanceAt.end())
             return;
+        const std::size_t to = found->second;
         const Duration delay = m_instances[from].zone == m_instances[to].zone ? ZONE_DELAY : REMOTE_DELAY;
         schedule(delay, [this, to, message = std::shared_ptr<const peer::Envelope>(effect.message)] {
             if (!isStopped(to))
@@ -438,6 +438,7 @@
     std::vector<SimulatedServer> m_servers;
     std::unordered_map<ServerId, std::size_t> m_indexOf;
     std::vector<Instance> m_instances;
+    std::unordered_map<std::string, std::size_t> m_instanceAt;
     std::vector<CallerRequest> m_requests;
     std::vector<Decision> m_idleReports;
     const ResponsePtr m_success = std::make_shared<const Response>(Response { 200, {}, {} });
