--- a/src/shell/commands.cpp
+++ b/src/shell/commands.cpp
@@ -156,7 +156,10 @@
         call.deadline = steadyNow() + ADMIN_TIMEOUT;
         call.maxResponse = 16 * 1024 * 1024;
         ResponsePtr response;
-        client.start(std::move(call), [&](const HttpResult& result) { response = result.response; });
+        client.start(std::move(call), [&](const HttpResult& result) {
+            response = result.response;
+            io.stop();
+        });
         io.run();
         return response;
     }
--- a/src/shell/http_client.h
+++ b/src/shell/http_client.h
@@ -53,7 +53,8 @@
 ///
 /// A response is complete only if its length is stated, by Content-Length or chunks,
 /// and all of it arrived, unless HttpCall::allowCloseDelimited is set. A connection
-/// whose call was cancelled, timed out or failed is closed and never reused.
+/// whose call was cancelled, timed out or failed is closed and never reused. A pooled
+/// connection is closed as soon as the server sends or closes; until then it keeps `io` running.
 class HttpClient {
 public:
     /// @param io runs the I/O and the handlers; must outlive the client
