--- /dev/null
+++ b/src/decision/reducer_state.cpp
@@ -0,0 +1,300 @@
+#include "reducer_state.h"
+
+#include "peer.pb.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace cornelwind {
+namespace {
+
+    constexpr std::uint32_t MAX_KEYS_PER_CALL = 100;
+    // Instances that do not watch the platform read its instance list periodically. The interval grows
+    // with the fleet, so that the whole fleet makes at most 100 calls per second.
+    constexpr Millis MIN_LIST_REFRESH { 10000 };
+    constexpr Millis LIST_REFRESH_PER_INSTANCE { 10 };
+    // A revision that peers know normally reaches this instance through its own watch within this time.
+    constexpr Duration CATCH_UP_DELAY = std::chrono::milliseconds(300);
+    // Minimum time between two attempts to catch up.
+    constexpr Duration CATCH_UP_INTERVAL = std::chrono::milliseconds(300);
+
+    Gossip::Identity makeIdentity(const Settings& settings, Incarnation incarnation)
+    {
+        return { settings.name, settings.zone, settings.advertised.value_or(settings.peers), incarnation, settings.seeds, settings.platformForm == PlatformForm::Store };
+    }
+
+    KeyRegistry::Limits makeKeyLimits(const Settings& settings)
+    {
+        return { { settings.maxKeys, static_cast<std::size_t>(settings.maxStoredResponses.value()) }, settings.keyLifetime };
+    }
+
+} // namespace
+
+Reducer::State::State(const Settings& settings, Incarnation incarnation, const KeySecret& secret, Time start, SheetReader reader)
+    : m_keys(KeyIssuer(settings.name, incarnation, secret, start), makeKeyLimits(settings))
+    , m_pool(makeSlotShareSelector(), settings.zone)
+    , m_activeSheet(std::move(reader))
+    , m_members(settings.name, settings.zone, settings.peerRoutes)
+    , m_gossip(makeIdentity(settings, incarnation), m_members, m_activeSheet)
+    , m_health({ m_pool, m_quarantine, m_members, m_gossip, m_losses })
+    , m_flow({ m_pool, m_losses, m_keys, m_quarantine, m_health, m_members,
+          [this](ServerId server, Context& context) { m_health.onLeaving(server, context); },
+          [this](Fingerprint fingerprint, Context& context) { m_health.onCrash(fingerprint, context); } })
+    , m_drain({ m_gossip, m_members, m_keys, m_flow }, settings.shutdownTimeout, settings.stopNotice)
+    , m_serversPublishedSeparately(settings.platformForm == PlatformForm::Store)
+{
+    m_flow.setRetryAllowance(settings.fleetRetryAllowance);
+}
+
+void Reducer::State::apply(const Event& event, EffectList& effects)
+{
+    Context context(event.at, event.random, effects);
+    const std::size_t before = effects.size();
+    std::visit([&](const auto& body) { on(body, context); }, event.body);
+    for (std::size_t i = before; i < effects.size(); ++i) {
+        if (const auto* report = std::get_if<ReportDecision>(&effects[i]))
+            m_decisions.add(report->decision);
+    }
+}
+
+void Reducer::State::on(const ServersPublished& event, Context& context)
+{
+    platformAnswered(context);
+    if (m_serverRegistry.onPublished(event, context))
+        adoptSheetWithServers(context);
+    notifyZoneOfServers(context);
+    m_gossip.setServersRevision(m_serverRegistry.revision());
+}
+
+void Reducer::State::platformAnswered(Context& context)
+{
+    m_gossip.platformAnswered(context.now());
+    m_serverRegistry.onPlatformReachable(context);
+}
+
+void Reducer::State::on(const KeysRequested& event, Context& context)
+{
+    IssueKeys keys { event.request, {} };
+    for (std::uint32_t i = 0; i < std::min(event.count, MAX_KEYS_PER_CALL); ++i)
+        keys.keys.push_back(m_keys.issueKey(context.now()));
+    context.emit(std::move(keys));
+}
+
+void Reducer::State::on(const SheetFetched& event, Context& context)
+{
+    platformAnswered(context);
+    offerSheet(event.text, "the platform", context);
+}
+
+void Reducer::State::on(const InstancesListed& event, Context& context)
+{
+    platformAnswered(context);
+    m_members.onListed(event, context);
+}
+
+void Reducer::State::on(const PeerMessageReceived& event, Context& context)
+{
+    MemberRecord* sender = m_gossip.onMessage(*event.message, context);
+    if (!sender)
+        return;
+    const peer::Envelope& message = *event.message;
+    if (message.has_evidence())
+        m_health.onEvidence(message.evidence(), *sender, context);
+    else if (message.has_outcomes())
+        m_health.exchange().onOutcomes(message.outcomes(), *sender, context);
+    else if (message.has_loads())
+        m_health.exchange().onLoads(message.loads(), *sender, context);
+    else if (message.has_beliefs_request())
+        m_health.exchange().onBeliefsRequest(*sender, context);
+    else if (message.has_beliefs_reply())
+        m_health.exchange().onBeliefsReply(message.beliefs_reply(), *sender, context);
+    else if (message.has_servers_request())
+        sendServerList(*sender, context);
+    else if (message.has_servers_news())
+        applyServerUpdates(message.servers_news(), context);
+    else if (message.has_servers_reply())
+        applyServerList(message.servers_reply(), context);
+    else if (message.has_sheet_request())
+        sendSheet(*sender, context);
+    else if (message.has_sheet_reply())
+        offerSheet(message.sheet_reply().text(), sender->name.value(), context);
+    else
+        m_drain.onMessage(message, *sender, context);
+}
+
+void Reducer::State::on(const Tick&, Context& context)
+{
+    m_gossip.onTick(context);
+    m_flow.onTick(context);
+    m_health.onTick(context);
+    m_drain.onTick(context);
+    m_keys.expire(context.now());
+    m_flow.setFleetSize(static_cast<std::uint32_t>(1 + m_members.liveCount()));
+    if (m_serversPublishedSeparately)
+        updateServers(context);
+    updateWatch(context);
+    updateReady(context);
+}
+
+void Reducer::State::offerSheet(const std::string& text, const std::string& source, Context& context)
+{
+    if (!m_activeSheet.adoptIfNewer(text, source, context))
+        return;
+    if (m_serversPublishedSeparately)
+        adoptSheetWithServers(context);
+    else
+        adopt(m_activeSheet.current(), context);
+    m_gossip.announce(context);
+}
+
+void Reducer::State::adopt(const SheetPtr& sheet, Context& context)
+{
+    m_pool.applySheet(*sheet, context.now());
+    m_flow.adopt(sheet);
+    m_health.adopt(sheet);
+    if (sheet->callers && sheet->callers != m_callerLimits) {
+        m_callerLimits = sheet->callers;
+        context.emit(SetCallerLimits { *m_callerLimits });
+    }
+}
+
+// The platform publishes the sheet and the backend servers separately. The sheet in force combines the latest of both.
+void Reducer::State::adoptSheetWithServers(Context& context)
+{
+    if (m_activeSheet.current() && m_serverRegistry.hasServerList())
+        adopt(std::make_shared<const Sheet>(m_serverRegistry.withServers(*m_activeSheet.current())), context);
+}
+
+void Reducer::State::updateServers(Context& context)
+{
+    if (m_serverRegistry.onTick(context))
+        adoptSheetWithServers(context);
+    notifyZoneOfServers(context);
+    m_gossip.setWatchOpen(m_watching && m_serverRegistry.reachable() && m_serverRegistry.hasServerList(), context);
+    if (m_gossip.highestPeerRevision() <= m_serverRegistry.revision()) {
+        m_laggingSince.reset();
+        return;
+    }
+    if (!m_laggingSince)
+        m_laggingSince = context.now();
+    if (context.now() - *m_laggingSince < CATCH_UP_DELAY || context.now() < m_nextCatchUp)
+        return;
+    m_nextCatchUp = context.now() + CATCH_UP_INTERVAL;
+    catchUp(context);
+}
+
+// Peers know a newer revision. The watch of this instance may hang, so it asks the platform again, once for each
+// revision. If it has no working watch or has already asked for this revision, it asks a peer for the list.
+void Reducer::State::catchUp(Context& context)
+{
+    if (m_watching && m_serverRegistry.reachable() && m_gossip.highestPeerRevision() != m_refreshRequestedFor) {
+        m_refreshRequestedFor = m_gossip.highestPeerRevision();
+        context.emit(RefreshPublished {});
+        return;
+    }
+    MemberRecord* source = m_members.find(m_gossip.highestRevisionPeer());
+    if (!source)
+        return;
+    auto message = std::make_shared<peer::Envelope>();
+    message->mutable_servers_request();
+    m_gossip.send(*source, std::move(message), context);
+}
+
+// An instance that watches the platform sends changes to the members of its zone at once. Other zones have their own
+// watchers.
+void Reducer::State::notifyZoneOfServers(Context& context)
+{
+    const auto update = m_serverRegistry.takePendingUpdate();
+    if (!update || !m_watching)
+        return;
+    for (const MemberRecord* member : m_members.live()) {
+        if (member->zone == m_members.zone())
+            m_gossip.send(*member, std::make_shared<peer::Envelope>(*update), context);
+    }
+}
+
+void Reducer::State::applyServerUpdates(const peer::ServersNews& update, Context& context)
+{
+    if (m_serverRegistry.onPeerUpdate(update, context))
+        adoptSheetWithServers(context);
+    m_gossip.setServersRevision(m_serverRegistry.revision());
+}
+
+void Reducer::State::sendServerList(const MemberRecord& to, Context& context)
+{
+    auto message = std::make_shared<peer::Envelope>();
+    m_serverRegistry.write(*message->mutable_servers_reply());
+    m_gossip.send(to, std::move(message), context);
+}
+
+void Reducer::State::applyServerList(const peer::ServersReply& reply, Context& context)
+{
+    if (m_serverRegistry.onPeerList(reply, context))
+        adoptSheetWithServers(context);
+    m_gossip.setServersRevision(m_serverRegistry.revision());
+}
+
+void Reducer::State::sendSheet(const MemberRecord& to, Context& context)
+{
+    if (!m_activeSheet.current())
+        return;
+    auto message = std::make_shared<peer::Envelope>();
+    message->mutable_sheet_reply()->set_text(m_activeSheet.current()->text);
+    m_gossip.send(to, std::move(message), context);
+}
+
+void Reducer::State::updateWatch(Context& context)
+{
+    const bool watch = m_gossip.shouldWatch(context.now());
+    const Millis refresh = std::max<Millis>(MIN_LIST_REFRESH, LIST_REFRESH_PER_INSTANCE * (1 + m_members.liveCount()));
+    if (watch == m_watching && refresh == m_listRefresh)
+        return;
+    m_watching = watch;
+    m_listRefresh = refresh;
+    context.emit(WatchPlatform { watch, refresh });
+}
+
+// An instance that starts without state waits for its peers first: a platform with stale values could otherwise
+// bring an old sheet into force.
+void Reducer::State::updateReady(Context& context)
+{
+    if (m_ready || m_drain.stopping() || !m_activeSheet.current() || !m_gossip.joined(context.now()))
+        return;
+    if (m_serversPublishedSeparately && !m_serverRegistry.hasServerList())
+        return;
+    m_ready = true;
+    m_flow.startAccepting();
+    context.emit(SetReady { true });
+}
+
+Status Reducer::State::status(Time now) const
+{
+    Status status;
+    status.name = m_members.self();
+    status.incarnation = m_members.incarnation();
+    status.ready = m_ready && !m_drain.stopping();
+    status.stopping = m_drain.stopping();
+    status.watching = m_watching;
+    status.platformAge = m_gossip.platformAge(now);
+    status.requests = m_flow.size();
+    status.keys = m_keys.size();
+    for (const auto& [name, member] : m_members.records())
+        status.members.push_back({ name, member.zone, toString(member.state), member.listed, member.answersDirectly });
+    if (!m_activeSheet.current())
+        return status;
+    status.sheet = m_activeSheet.current()->version;
+    status.sheetAge = now - m_activeSheet.adoptedAt();
+    for (std::uint32_t i = 0; i < m_pool.serviceCount(); ++i) {
+        for (const Server* server : m_pool.servers(i)) {
+            const ServerAssessment assessment = m_health.assess(server->id);
+            const bool idle = m_pool.placement(i) == Placement::ExpectedCost && server->config.zone == m_members.zone() && IdleReport::isIdle(*server, now);
+            status.servers.push_back({ server->config.name, server->service, toString(server->state), server->avoided, server->inFlight,
+                server->config.slots.value(), server->ownSlots, assessment.score,
+                ejectionThreshold(m_activeSheet.current()->services[i].weighting), assessment.badShare, assessment.expectedShare,
+                idle ? std::optional(m_pool.idleReason(i, *server, now)) : std::nullopt });
+        }
+    }
+    return status;
+}
+
+} // namespace cornelwind
--- a/src/shell/http_client.cpp
+++ b/src/shell/http_client.cpp
@@ -1,5 +1,7 @@
 #include "http_client.h"
 
+#include "connection_pool.h"
+
 #include <boost/asio/connect.hpp>
 #include <boost/asio/detail/socket_option.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -15,8 +17,6 @@
 
 #include <algorithm>
 #include <array>
-#include <charconv>
-#include <map>
 #include <optional>
 #include <unordered_map>
 #include <utility>
@@ -30,8 +30,6 @@
     using asio::ip::tcp;
     using ErrorCode = boost::system::error_code;
 
-    constexpr std::size_t MAX_IDLE_PER_ADDRESS = 8;
-    constexpr Duration MAX_IDLE_TIME = std::chrono::seconds(20);
     constexpr std::size_t MAX_RESPONSE_HEAD_BYTES = 64 * 1024;
     // Limits the bytes received but not yet parsed: a head, or a chunk header or trailer.
     constexpr std::size_t MAX_BUFFERED_BYTES = 2 * MAX_RESPONSE_HEAD_BYTES;
@@ -44,40 +42,6 @@
     constexpr int KEEPALIVE_IDLE_S = 1;
     constexpr int KEEPALIVE_INTERVAL_S = 1;
     constexpr int KEEPALIVE_PROBES = 2;
-    // The client drops an idle connection this long before the server's stated timeout, so that it does not send
-    // on a connection that the server is closing.
-    constexpr Duration IDLE_TIMEOUT_MARGIN = std::chrono::seconds(1);
-
-    struct IdleConnection {
-        tcp::socket socket;
-        Time until;
-    };
-    using IdleConnectionPtr = std::shared_ptr<IdleConnection>;
-
-    // Returns how long to pool a connection: `timeout=N` (seconds) of the Keep-Alive header less the margin,
-    // at most MAX_IDLE_TIME, which also applies if the header states no timeout.
-    Duration idleTimeOf(std::string_view keepAlive)
-    {
-        const auto position = keepAlive.find("timeout=");
-        std::uint32_t seconds = 0;
-        if (position == keepAlive.npos)
-            return MAX_IDLE_TIME;
-        const char* begin = keepAlive.data() + position + std::string_view("timeout=").size();
-        if (std::from_chars(begin, keepAlive.data() + keepAlive.size(), seconds).ec != std::errc {})
-            return MAX_IDLE_TIME;
-        return std::clamp<Duration>(std::chrono::seconds(seconds) - IDLE_TIMEOUT_MARGIN, Duration {}, MAX_IDLE_TIME);
-    }
-
-    // Returns whether a pooled connection can carry a request. Unexpected data or a close by the server rule it out.
-    bool isOpenAndIdle(tcp::socket& socket)
-    {
-        std::array<char, 1> byte {};
-        ErrorCode error;
-        socket.non_blocking(true, error);
-        socket.receive(asio::buffer(byte), tcp::socket::message_peek, error);
-        return error == asio::error::would_block;
-    }
-
     std::string serializeHead(const HttpCall& call)
     {
         std::string head = call.method + " " + call.target + " HTTP/1.1\r\n";
@@ -119,64 +83,20 @@
     return std::any_of(names.begin(), names.end(), [&](const char* known) { return beast::iequals(name, known); });
 }
 
-class HttpClient::Pool {
-public:
-    std::optional<tcp::socket> acquire(const Endpoint& address)
-    {
-        auto& idle = m_idle[toString(address)];
-        while (!idle.empty()) {
-            const IdleConnectionPtr connection = std::move(idle.back());
-            idle.pop_back();
-            ErrorCode ignored;
-            connection->socket.cancel(ignored);
-            if (steadyNow() < connection->until && isOpenAndIdle(connection->socket))
-                return std::move(connection->socket);
-        }
-        return std::nullopt;
-    }
-
-    void release(const Endpoint& address, tcp::socket socket, Duration idleTime)
-    {
-        auto& idle = m_idle[toString(address)];
-        if (idle.size() >= MAX_IDLE_PER_ADDRESS)
-            return;
-        const auto connection = std::make_shared<IdleConnection>(IdleConnection { std::move(socket), steadyNow() + idleTime });
-        idle.push_back(connection);
-        closeWhenReadable(connection);
-    }
-
-    void closeExpired()
-    {
-        for (auto& [address, idle] : m_idle)
-            std::erase_if(idle, [](const IdleConnectionPtr& connection) { return steadyNow() >= connection->until || !connection->socket.is_open(); });
-        std::erase_if(m_idle, [](const auto& row) { return row.second.empty(); });
-    }
-
+/// The idle connections and the running calls of a client. The client and each call share its ownership.
+struct HttpClient::Shared {
+    ConnectionPool idle;
     std::unordered_map<CallId, std::weak_ptr<Exchange>> running;
-
-private:
-    // No response is due on an idle connection, so data or a close by the server ends it.
-    static void closeWhenReadable(const IdleConnectionPtr& connection)
-    {
-        connection->socket.async_wait(tcp::socket::wait_read, [weak = std::weak_ptr(connection)](ErrorCode error) {
-            const IdleConnectionPtr readable = weak.lock();
-            ErrorCode ignored;
-            if (!error && readable)
-                readable->socket.close(ignored);
-        });
-    }
-
-    std::map<std::string, std::vector<IdleConnectionPtr>> m_idle;
 };
 
 /// A running call, from connecting to the complete response.
 class HttpClient::Exchange : public std::enable_shared_from_this<Exchange> {
 public:
-    Exchange(asio::io_context& io, std::shared_ptr<Pool> pool, CallId id, HttpCall call, CallHandler handler)
+    Exchange(asio::io_context& io, std::shared_ptr<Shared> shared, CallId id, HttpCall call, CallHandler handler)
         : m_socket(io)
         , m_timer(io)
         , m_connectTimer(io)
-        , m_pool(std::move(pool))
+        , m_shared(std::move(shared))
         , m_id(id)
         , m_call(std::move(call))
         , m_handler(std::move(handler))
@@ -191,7 +111,7 @@
                 self->finish(self->m_sentAny ? TryResult::TimedOut : TryResult::NotSent);
         });
         if (m_call.reuse) {
-            if (auto idle = m_pool->acquire(m_call.address)) {
+            if (auto idle = m_shared->idle.acquire(m_call.address)) {
                 m_socket = std::move(*idle);
                 m_reused = true;
                 return write();
@@ -350,9 +270,9 @@
             return;
         m_timer.cancel();
         m_connectTimer.cancel();
-        m_pool->running.erase(m_id);
+        m_shared->running.erase(m_id);
         if (m_reusable)
-            m_pool->release(m_call.address, std::move(m_socket), m_idleTime);
+            m_shared->idle.release(m_call.address, std::move(m_socket), m_idleTime);
         else {
             ErrorCode ignored;
             m_socket.close(ignored);
@@ -366,7 +286,7 @@
     tcp::socket m_socket;
     asio::steady_timer m_timer;
     asio::steady_timer m_connectTimer;
-    std::shared_ptr<Pool> m_pool;
+    std::shared_ptr<Shared> m_shared;
     CallId m_id;
     HttpCall m_call;
     CallHandler m_handler;
@@ -389,7 +309,7 @@
 
 HttpClient::HttpClient(asio::io_context& io)
     : m_io(io)
-    , m_pool(std::make_shared<Pool>())
+    , m_shared(std::make_shared<Shared>())
 {
 }
 
@@ -398,16 +318,16 @@
 CallId HttpClient::start(HttpCall call, CallHandler handler)
 {
     const CallId id = ++m_lastId;
-    auto exchange = std::make_shared<Exchange>(m_io, m_pool, id, std::move(call), std::move(handler));
-    m_pool->running.emplace(id, exchange);
+    auto exchange = std::make_shared<Exchange>(m_io, m_shared, id, std::move(call), std::move(handler));
+    m_shared->running.emplace(id, exchange);
     exchange->start();
     return id;
 }
 
 void HttpClient::cancel(CallId id)
 {
-    const auto found = m_pool->running.find(id);
-    if (found == m_pool->running.end())
+    const auto found = m_shared->running.find(id);
+    if (found == m_shared->running.end())
         return;
     if (auto exchange = found->second.lock())
         exchange->cancel();
@@ -415,7 +335,7 @@
 
 void HttpClient::closeExpiredConnections()
 {
-    m_pool->closeExpired();
+    m_shared->idle.closeExpired();
 }
 
 } // namespace cornelwind
--- a/src/shell/http_client.h
+++ b/src/shell/http_client.h
@@ -81,11 +81,11 @@
     void closeExpiredConnections();
 
 private:
-    class Pool;
+    struct Shared;
     class Exchange;
 
     boost::asio::io_context& m_io;
-    std::shared_ptr<Pool> m_pool;
+    std::shared_ptr<Shared> m_shared;
     CallId m_lastId = 0;
 };
 
