Bound what a caller's chunk header or trailer may occupy

Found while looking for the same fault as in the client of the backend servers: a chunk extension or a trailer line without end from a caller was buffered until the receive time limit and then answered 408. The connection now buffers at most 64 KiB beside the head and answers 431 at once. Test first (caller_test, both new rows fail without the change).

--- a/src/shell/http_connection.cpp
+++ b/src/shell/http_connection.cpp
@@ -5,6 +5,8 @@
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/read.hpp>
 
+#include <algorithm>
+
 namespace cornelwind {
 namespace {
 
@@ -16,6 +18,8 @@
 
     // Applies while the head is read; `readBody` then sets the limit of the request.
     constexpr std::size_t INITIAL_BODY_LIMIT = 64 * 1024 * 1024;
+    // Limits chunk headers and trailers, which are buffered whole until their end, beside the head.
+    constexpr std::size_t MAX_BUFFERED_BYTES = 64 * 1024;
     constexpr std::string_view CONTINUE_RESPONSE = "HTTP/1.1 100 Continue\r\n\r\n";
 
 } // namespace
@@ -91,6 +95,7 @@
     m_parser.emplace();
     m_parser->header_limit(static_cast<std::uint32_t>(m_listener->limits.maxHeadBytes));
     m_parser->body_limit(INITIAL_BODY_LIMIT);
+    m_buffer.max_size(std::max(m_buffer.size(), m_listener->limits.maxHeadBytes + MAX_BUFFERED_BYTES));
     startTimer(m_listener->limits.headTimeout, &Connection::onHeadTimeout);
     http::async_read_header(m_socket, m_buffer, *m_parser, [self = shared_from_this()](ErrorCode error, std::size_t) { self->onHeadRead(error); });
 }
--- a/tests/caller_test.cpp
+++ b/tests/caller_test.cpp
@@ -92,6 +92,8 @@
         { "large head", "GET /catalogue HTTP/1.1\r\nX: " + std::string(4000, 'x') + "\r\n\r\n", 431 },
         { "large body", post + "Content-Length: 101\r\n\r\n" + std::string(101, 'x'), 413 },
         { "large chunked body", post + "Transfer-Encoding: chunked\r\n\r\n65\r\n" + std::string(101, 'x') + "\r\n0\r\n\r\n", 413 },
+        { "chunk extension without end", post + "Transfer-Encoding: chunked\r\n\r\n4;" + std::string(4000000, 'x'), 431 },
+        { "trailer line without end", post + "Transfer-Encoding: chunked\r\n\r\n0\r\nX: " + std::string(4000000, 'x'), 431 },
         { "slow head", "GET /catalogue HTTP/1.1\r\nHost: a\r\n", 408 },
         { "slow body", post + "Content-Length: 50\r\n\r\nabc", 408 },
     };
