Bound the wait for a trial at all times

Cause: the bound of 3 s holds while many requests are lost; at other times nothing bounded the wait: the budget goes to the least risk first, so a server of high risk may never have its turn. Now it is tried at the latest 30 s after its last request, or after the age of its failure if that is more, so that a long failure costs a number of orders that grows with its logarithm only.

--- a/include/cornelwind/server_pool.h
+++ b/include/cornelwind/server_pool.h
@@ -72,8 +72,9 @@
     bool trialAllowed = false;
     /// Whether the trial budget of the service allows one more trial while other servers have free slots.
     bool trialBudgeted = true;
-    /// Whether a suspected server that has waited long gets a trial whatever its risk and the trial budget.
-    bool trialWaitBounded = false;
+    /// Whether so many requests of the service are lost that a suspected server waits only seconds for a trial, whatever
+    /// its risk and the trial budget.
+    bool manyRequestsLost = false;
     /// Cost of a trial of a server that is still unhealthy; 1 is the value of a response in time.
     double trialCost = 1;
     /// Whether the request may go to a server that no entry instance of the zone has used for a while, to find
@@ -181,7 +182,7 @@
     /// @return delay of the trials of this entry instance: its turn, and more for servers of other availability zones
     Duration trialDelay(const Server& server) const;
     /// @return time at which this entry instance tries a suspected server, whatever its risk
-    Time trialDeadline(const Server& server) const;
+    Time trialDeadline(const Server& server, bool manyRequestsLost) const;
     Server* pickOverdue(std::uint32_t service, const PickContext& context);
     Server* pickForTrial(std::uint32_t service, const PickContext& context, bool hasOther);
     /// @param riskLimit highest risk at which a trial pays off
--- a/src/decision/request_flow_placement.cpp
+++ b/src/decision/request_flow_placement.cpp
@@ -83,7 +83,7 @@
         const bool retryable = request.rule->kind == RequestKind::Idempotent && !request.tryCount;
         pick.riskWeight = retryable ? RETRYABLE_RISK_WEIGHT : 1;
         pick.trialCost = retryable ? RETRYABLE_TRIAL_COST : 1;
-        pick.trialWaitBounded = m_dependencies.losses.isHigh(request.service->id, context.now());
+        pick.manyRequestsLost = m_dependencies.losses.isHigh(request.service->id, context.now());
     } else
         pick.borrowAllowed = mayBorrowSlot(request, context.now());
     Server* server = m_dependencies.pool.pick(*request.service->index, pick);
--- a/src/decision/server_pool_trials.cpp
+++ b/src/decision/server_pool_trials.cpp
@@ -21,10 +21,12 @@
     // All instances have had their turn after this time, whatever their number.
     constexpr Duration MAX_TURN_CYCLE = std::chrono::seconds(1);
 
-    // Longest time from the last request of a suspected server to its next trial, before the turns of the instances.
+    // Longest time from the last request of a suspected server to its next trial, before the turns of the instances, while
+    // many requests are lost. A server that has failed for long may wait this part of that time instead.
     constexpr Duration MAX_TRIAL_WAIT = std::chrono::seconds(3);
-    // A server that has failed for long may wait this part of that time instead.
     constexpr int FAILURE_AGE_DIVISOR = 4;
+    // The same at other times, when each failed trial costs more than an idle server. A longer failure doubles the wait.
+    constexpr Duration MAX_CALM_TRIAL_WAIT = std::chrono::seconds(30);
 
     // Time until the turn of the instance at `position` of `instances`.
     Duration turnDelay(std::uint64_t position, std::uint32_t instances)
@@ -45,8 +47,7 @@
 // A request that no other server can take may be a trial even if the trial budget is used up.
 Server* ServerPool::pickForTrial(std::uint32_t service, const PickContext& context, bool hasOther)
 {
-    Server* overdue = context.trialWaitBounded ? pickOverdue(service, context) : nullptr;
-    if (overdue)
+    if (Server* overdue = pickOverdue(service, context))
         return overdue;
     const double riskLimit = trialRiskLimit(hasOther ? freeShare(service) : 0, context.trialCost);
     Server* best = nullptr;
@@ -75,7 +76,7 @@
     for (Server* server : m_services[service]) {
         if (server->inFlight || !m_beliefs.dueForTrial(server->id, context.now) || !accepts(*server, context))
             continue;
-        const Duration overdue = context.now - trialDeadline(*server);
+        const Duration overdue = context.now - trialDeadline(*server, context.manyRequestsLost);
         if (overdue <= longestOverdue)
             continue;
         longestOverdue = overdue;
@@ -84,11 +85,12 @@
     return longest;
 }
 
-Time ServerPool::trialDeadline(const Server& server) const
+Time ServerPool::trialDeadline(const Server& server, bool manyRequestsLost) const
 {
     const Belief& belief = *m_beliefs.find(server.id);
     const Time lastTried = std::max(server.lastSentAt, belief.lastFailureSentAt);
-    const Duration wait = std::max(MAX_TRIAL_WAIT, (lastTried - belief.firstFailureSentAt) / FAILURE_AGE_DIVISOR);
+    const Duration age = lastTried - belief.firstFailureSentAt;
+    const Duration wait = manyRequestsLost ? std::max(MAX_TRIAL_WAIT, age / FAILURE_AGE_DIVISOR) : std::max(MAX_CALM_TRIAL_WAIT, age);
     // The instances of the zone of a server know its last request; others leave it to them unless they fail to try it.
     return lastTried + (server.config.zone == m_zone ? wait : 2 * wait) + turn(server);
 }
--- a/tests/belief_test.cpp
+++ b/tests/belief_test.cpp
@@ -442,18 +442,19 @@
     }
 }
 
-TEST_CASE("While requests are lost, the wait of a suspected server for a trial is bounded whatever its risk and the budget")
+TEST_CASE("The wait of a suspected server for a trial is bounded whatever its risk and the budget")
 {
     struct Row {
         const char* name;
-        bool bounded;
+        bool manyLost;
         // Times of the failures after START; the last one is the last request of the server.
         std::vector<int> failuresMs;
         int earliestMs;
         int latestMs;
     };
     const Row rows[] = {
-        { "not bounded", false, { 0 }, 20000, 20000 },
+        { "few requests lost", false, { 0 }, 30000, 31000 },
+        { "few requests lost, a failure of 40 s", false, { 0, 40000 }, 80000, 81000 },
         { "one failure", true, { 0 }, 3000, 4000 },
         { "several failures", true, { 0, 3000, 6000 }, 9000, 10000 },
         { "a failure of 40 s", true, { 0, 40000 }, 50000, 51000 },
@@ -468,14 +469,17 @@
             for (const int failure : row.failuresMs)
                 pool.beliefs().observe(server->id, Observation::Failure, after(failure), after(failure));
             const auto isTried = [&](int millis) {
+                // The others answered a moment ago, so that only a trial goes to the suspected server.
+                for (const Server* other : pool.servers(0).subspan(1))
+                    pool.beliefs().observe(other->id, Observation::Success, after(millis), after(millis));
                 PickContext pick = pickAt(after(millis));
-                pick.acceptableRisk = 0.35;
+                pick.acceptableRisk = 0;
                 pick.trialBudgeted = false;
-                pick.trialWaitBounded = row.bounded;
+                pick.manyRequestsLost = row.manyLost;
                 return pool.pick(0, pick) == server;
             };
             CHECK_FALSE(isTried(row.earliestMs - 10));
-            CHECK(isTried(row.latestMs) == row.bounded);
+            CHECK(isTried(row.latestMs));
         }
     }
 }
@@ -486,6 +490,6 @@
     pool.beliefs().observe(pool.servers(0)[1]->id, Observation::Failure, START, START);
     pool.beliefs().observe(pool.servers(0)[0]->id, Observation::Failure, after(500), after(500));
     PickContext pick = pickAt(after(6000));
-    pick.trialWaitBounded = true;
+    pick.manyRequestsLost = true;
     CHECK(pool.pick(0, pick) == pool.servers(0)[1]);
 }
