--- a/include/cornelwind/request_record.h
+++ b/include/cornelwind/request_record.h
@@ -61,6 +61,9 @@
     std::uint32_t others = 0;
     /// Placed: number of requests that the server runs at the same time.
     std::uint32_t slots = 0;
+    /// Placed: time that the try has, and time that the caller still waits; negative after its deadline.
+    Duration tryTime {};
+    Duration callerTime {};
     /// Waiting: length of the queue, this request included.
     std::uint32_t queued = 0;
     /// Waiting: expected time in the queue; zero if unknown.
--- a/src/decision/request_flow.h
+++ b/src/decision/request_flow.h
@@ -245,6 +245,8 @@
     /// @return whether the request may use a slot that is reserved for another entry instance
     bool mayBorrowSlot(const Request& request, Time now) const;
     void send(Request& request, Server& server, Context& context);
+    /// @return when a try that starts now ends at the latest
+    Time tryDeadline(const Request& request, Time now) const;
     /// Counts a try in the current window of one second.
     static void countTry(Service& service, Time now);
     /// Sends queued requests in order until no server has capacity.
@@ -300,7 +302,7 @@
 
     // Log records.
     RequestRecord makeRecord(const Request& request, RequestStep step, Time now) const;
-    void recordPlaced(const Request& request, const Server& server, Context& context) const;
+    void recordPlaced(const Request& request, const Server& server, Time tryDeadline, Context& context) const;
     void recordSendFailed(const Request& request, const ActiveTry& ended, const TryFinished& event, Context& context) const;
     void recordNotSentAgain(const Request& request, const char* reason, Context& context) const;
 
--- a/src/decision/request_flow_records.cpp
+++ b/src/decision/request_flow_records.cpp
@@ -22,7 +22,7 @@
     return record;
 }
 
-void RequestFlow::recordPlaced(const Request& request, const Server& server, Context& context) const
+void RequestFlow::recordPlaced(const Request& request, const Server& server, Time tryDeadline, Context& context) const
 {
     RequestRecord record = makeRecord(request, RequestStep::Placed, context.now());
     record.server = server.config.name.value();
@@ -30,6 +30,8 @@
     record.inFlight = server.inFlight;
     record.others = m_dependencies.pool.peerLoads().peerInFlight(server.id);
     record.slots = server.config.slots.value();
+    record.tryTime = tryDeadline - context.now();
+    record.callerTime = request.deadline - context.now();
     context.emit(RecordRequest { std::move(record) });
 }
 
--- a/src/decision/request_flow_sends.cpp
+++ b/src/decision/request_flow_sends.cpp
@@ -28,7 +28,8 @@
     ++request.possiblyRunCount;
     request.active[request.activeCount++] = { id, server.id, context.now(), false, m_dependencies.pool.isAtCapacity(server) };
     m_tries.emplace(id, request.id);
-    recordPlaced(request, server, context);
+    const Time deadline = tryDeadline(request, context.now());
+    recordPlaced(request, server, deadline, context);
     m_dependencies.pool.begin(server, context.now());
     const bool byCost = placedByCost(request);
     if (byCost)
@@ -41,12 +42,9 @@
         request.service->trialTokens = std::max(request.service->trialTokens - 1, 0.0);
     }
 
-    const auto remaining = request.runDeadline - context.now();
-    const std::uint32_t triesLeft = byCost ? 0 : request.rule->tries > request.tryCount ? request.rule->tries - request.tryCount
-                                                                                        : 0;
     const SheetService& config = request.service->config;
     context.emit(SendTry { request.id, id, server.id, server.config.name, server.config.address,
-        context.now() + remaining / (triesLeft + 1), request.rule->connection, request.rule->maxResponse,
+        deadline, request.rule->connection, request.rule->maxResponse,
         config.shedStatus, config.shedHeader, config.drainHeader });
     if (request.rule->hedgeAfter && request.tryCount == 1)
         m_timers.push({ context.now() + *request.rule->hedgeAfter, request.id, TimerKind::Hedge });
@@ -55,6 +53,14 @@
         m_timers.push({ context.now() + bound, request.id, TimerKind::Slow });
 }
 
+// Where requests are placed by slots, a try leaves time for those that may follow it.
+Time RequestFlow::tryDeadline(const Request& request, Time now) const
+{
+    const bool mayFollow = !placedByCost(request) && request.rule->tries > request.tryCount;
+    const std::uint32_t triesLeft = mayFollow ? request.rule->tries - request.tryCount : 0;
+    return now + (request.runDeadline - now) / (triesLeft + 1);
+}
+
 void RequestFlow::countTry(Service& service, Time now)
 {
     constexpr Duration window = std::chrono::seconds(1);
--- a/src/shell/request_log.cpp
+++ b/src/shell/request_log.cpp
@@ -42,6 +42,8 @@
         add(fields, "own", record.inFlight);
         add(fields, "others", record.others);
         add(fields, "slots", record.slots);
+        addMillis(fields, "try_ms", record.tryTime);
+        addMillis(fields, "left_ms", record.callerTime);
     }
 
     void formatWaiting(const RequestRecord& record, std::string& fields)
--- a/tests/log_test.cpp
+++ b/tests/log_test.cpp
@@ -87,7 +87,7 @@
         bool failure;
     };
     const Row rows[] = {
-        { RequestStep::Placed, "placed", { "server=i", "risk=", "own=", "others=", "slots=" }, false },
+        { RequestStep::Placed, "placed", { "server=i", "risk=", "own=", "others=", "slots=", "try_ms=", "left_ms=" }, false },
         { RequestStep::Waiting, "waiting", { "queued=", "expected_ms=" }, false },
         { RequestStep::SendFailed, "send-failed", { "server=i", "result=crashed", "status=", "elapsed_ms=" }, true },
         { RequestStep::NotSentAgain, "not-sent-again", { "reason=\"why\"" }, true },
