End every try when its caller's time ends

Cause: a request kept two deadlines, that of the response and that of the run, and the run of every at-most-once request got the time limit of its route. The reason, a key's result that a later request fetches, holds for requests with a key only; the platform has none. The same confusion elsewhere: an at-most-once request whose caller had gone stayed in the queue and was sent later; a failed connection or a lost try led to another send although the caller had its response; a request whose body came late was forwarded to the owner of its key after its deadline.

Ruled out: a header that was not understood (idempotent requests with the same header are right); a wait between decision and send (4 ms in all, the excess was 1,063 ms).

Why it works: one function says when the tries of a request end, the caller's deadline; every path goes through it and through one check before any send. What runs on after that is a setting of a rule with a key (run_limit), off by default and on the platform. A try of an at-most-once request is not broken off when its caller goes, since it may have run; it ends by its deadline.

--- a/include/cornelwind/sheet.h
+++ b/include/cornelwind/sheet.h
@@ -38,6 +38,14 @@
     Fresh,
 };
 
+/// When the tries of a request end.
+enum class RunLimit : std::uint8_t {
+    /// When the caller no longer waits: no try gets more time than its caller has left.
+    CallerDeadline,
+    /// At the time limit of the rule, even if the caller waits for less: a later request with the same key gets the result.
+    TimeLimit,
+};
+
 /// Policy that chooses the backend server of a request.
 enum class Placement : std::uint8_t {
     /// Prefers the slots reserved for this entry instance; the whole fleet ejects outliers.
@@ -127,8 +135,10 @@
     ConnectionUse connection = ConnectionUse::Fresh;
     /// 0 is the highest priority.
     std::uint32_t priority = 1;
-    /// Time from the arrival of the request to its deadline.
+    /// Time from the arrival of the request to its deadline, unless its caller waits for less.
     Millis timeLimit { 5000 };
+    /// Only an at-most-once request with a key may run on after its caller's deadline.
+    RunLimit runLimit = RunLimit::CallerDeadline;
     /// Target latency: a response within this time is worth most to the caller. Empty if the sheet sets none.
     std::optional<Millis> targetLatency;
     /// Maximum number of backend servers that may run the request if it is idempotent. With
--- a/src/config/sheet.cpp
+++ b/src/config/sheet.cpp
@@ -32,6 +32,10 @@
         { "at-most-once", RequestKind::AtMostOnce },
     };
     constexpr Choice<KeyMode> keyModes[] = { { "owner", KeyMode::Owner }, { "none", KeyMode::None } };
+    constexpr Choice<RunLimit> runLimits[] = {
+        { "caller-deadline", RunLimit::CallerDeadline },
+        { "time-limit", RunLimit::TimeLimit },
+    };
     constexpr Choice<ConnectionUse> connectionUses[] = {
         { "reuse", ConnectionUse::Reuse },
         { "fresh", ConnectionUse::Fresh },
@@ -132,12 +136,14 @@
             reader.choice("connection", connectionUses, rule.connection);
             reader.number("priority", rule.priority, 0, 9);
             reader.millis("time_limit_ms", rule.timeLimit, 1, MAX_MILLIS);
+            reader.choice("run_limit", runLimits, rule.runLimit);
             reader.number("tries", rule.tries, 1, MAX_TRIES);
             reader.strong("max_body_bytes", rule.maxBody, 0, MAX_MESSAGE_BYTES);
             reader.strong("max_answer_bytes", rule.maxResponse, 0, MAX_MESSAGE_BYTES);
             reader.millis("hedge_after_ms", rule.hedgeAfter, 1, MAX_MILLIS);
             reader.rejectUnknownKeys();
             checkAtMostOnce(reader, rule);
+            checkRunLimit(reader, rule);
             if (!m_rulePaths.insert(rule.method + " " + rule.path).second)
                 reader.reportError(ErrorKind::DuplicateName, "path", rule.method + " " + rule.path);
             m_sheet.rules.push_back(std::move(rule));
@@ -164,6 +170,13 @@
                 reader.reportError(ErrorKind::OutOfRange, "hedge_after_ms", "set for an at-most-once request, which must not be hedged");
         }
 
+        static void checkRunLimit(TableReader& reader, const SheetRule& rule)
+        {
+            const bool hasKey = rule.kind == RequestKind::AtMostOnce && rule.key == KeyMode::Owner;
+            if (rule.runLimit == RunLimit::TimeLimit && !hasKey)
+                reader.reportError(ErrorKind::OutOfRange, "run_limit", "time-limit for a request without a key, whose result no later request can get");
+        }
+
         Sheet m_sheet;
         Reasons& m_reasons;
         std::unordered_map<ServiceName, std::size_t> m_serviceIndex;
--- a/src/decision/request_flow.cpp
+++ b/src/decision/request_flow.cpp
@@ -111,12 +111,10 @@
     request.sheet = m_sheet;
     request.rule = &m_sheet->rules[*rule];
     request.service = findOrCreateService(*m_sheet, chooseService(*request.rule, context));
-    request.runDeadline = context.now() + request.rule->timeLimit;
-    request.deadline = request.runDeadline;
-    if (event.remaining)
-        request.deadline = std::min<Time>(request.deadline, context.now() + *event.remaining);
-    if (request.rule->kind == RequestKind::Idempotent)
-        request.runDeadline = request.deadline;
+    const Time timeLimit = context.now() + request.rule->timeLimit;
+    request.deadline = event.remaining ? std::min<Time>(timeLimit, context.now() + *event.remaining) : timeLimit;
+    if (request.rule->runLimit == RunLimit::TimeLimit)
+        request.runsOnUntil = timeLimit;
     if (const auto refusal = checkKey(request, event))
         return refuse(request, *refusal, context);
     context.emit(ReadBody { request.id, request.rule->maxBody });
@@ -236,13 +234,11 @@
 {
     const RequestId id = request.id;
     request.answered = true;
-    const bool inProgress = request.phase == Phase::Queued || request.phase == Phase::Sent;
-    if (request.rule && request.rule->kind == RequestKind::AtMostOnce && inProgress) {
-        // The request runs on, so that a later request with the same key gets its result.
+    const bool atMostOnce = request.rule && request.rule->kind == RequestKind::AtMostOnce;
+    if (request.phase == Phase::Queued && !request.runsOnUntil)
+        return leaveQueue(request, context);
+    if (atMostOnce && (request.phase == Phase::Queued || request.phase == Phase::Sent))
         return;
-    }
-    if (request.phase == Phase::Queued)
-        request.service->queue.remove(id);
     if (request.phase == Phase::Joined) {
         if (KeySpace* keySpace = m_dependencies.keys.find(request.key->incarnation))
             keySpace->idempotencyStore.removeWaiter(request.key->id, id);
@@ -252,6 +248,12 @@
     eraseIfDone(id, context);
 }
 
+void RequestFlow::leaveQueue(Request& request, Context& context)
+{
+    request.service->queue.remove(request.id);
+    completeRequest(request, { Outcome::NotRun, ErrorKind::DeadlinePassed, nullptr }, {}, context);
+}
+
 void RequestFlow::onTick(Context& context)
 {
     if (context.now() - m_lastTick > MAX_TICK_GAP)
@@ -292,8 +294,7 @@
     case Phase::Paused:
         return refuse(request, { ErrorKind::OwnerUnreachable, Outcome::Unknown, RETRY_AFTER }, context);
     case Phase::Queued:
-        request.service->queue.remove(request.id);
-        return completeRequest(request, { Outcome::NotRun, ErrorKind::DeadlinePassed, nullptr }, {}, context);
+        return leaveQueue(request, context);
     case Phase::Sent:
     case Phase::Joined:
         respond(request, { Outcome::Unknown, ErrorKind::DeadlinePassed, nullptr }, {}, context);
--- a/src/decision/request_flow.h
+++ b/src/decision/request_flow.h
@@ -73,7 +73,7 @@
     void onBody(const BodyReceived& event, Context& context);
     /// Refuses a request that could not be read.
     void onReceiveFailed(const ReceiveFailed& event, Context& context);
-    /// Stops the work for a caller that disconnected. An at-most-once request in progress runs on.
+    /// Stops the work for a caller that disconnected; see `abandon`.
     void onCallerDisconnected(const CallerDisconnected& event, Context& context);
     /// Responds to the request or retries it, then sends queued requests. Unknown tries are ignored.
     void onTryFinished(const TryFinished& event, Context& context);
@@ -171,8 +171,8 @@
         Time admittedAt;
         /// The caller gets a response by this time.
         Time deadline;
-        /// Tries end by this time. An at-most-once request may run on after `deadline`, for a later request with its key.
-        Time runDeadline;
+        /// Time until which its tries may run on after `deadline`, for a later request with its key. Empty if they end with it.
+        std::optional<Time> runsOnUntil;
         /// Whether another entry instance forwarded it to this one.
         bool forwarded = false;
         /// Whether the caller got its response or no longer waits for one.
@@ -245,7 +245,11 @@
     /// @return whether the request may use a slot that is reserved for another entry instance
     bool mayBorrowSlot(const Request& request, Time now) const;
     void send(Request& request, Server& server, Context& context);
-    /// @return when a try that starts now ends at the latest
+    /// @return when its tries end: when its caller no longer waits, unless it may run on
+    static Time endOfTries(const Request& request) { return request.runsOnUntil.value_or(request.deadline); }
+    /// @return whether a try that starts now is of use to its caller, or to a later request with its key
+    static bool maySend(const Request& request, Time now) { return now < endOfTries(request) && (!request.answered || request.runsOnUntil); }
+    /// @return when a try that starts now ends at the latest; never after `endOfTries`
     Time tryDeadline(const Request& request, Time now) const;
     /// Counts a try in the current window of one second.
     static void countTry(Service& service, Time now);
@@ -313,11 +317,14 @@
     void refuse(Request& request, const Refusal& refusal, Context& context);
     /// Responds to the caller once; later calls for the same request have no effect.
     void respond(Request& request, const KeyResult& result, std::optional<Millis> retryAfter, Context& context);
-    /// Ends the work for a request whose caller no longer waits. An at-most-once request in progress runs on.
+    /// Ends the work for a request whose caller no longer waits. A try of an at-most-once request is not broken off, since the
+    /// server may have run it; it ends by its deadline. A request that may run on stays in the queue.
     void abandon(Request& request, Context& context);
-    /// Erases a request that is answered and has no try in progress.
+    /// Removes a queued request that has not been sent, so that it never runs.
+    void leaveQueue(Request& request, Context& context);
     /// Counts how a request ended for the share of lost requests. Trials do not count.
     void countResult(const Request& request, const KeyResult& result, Time now);
+    /// Erases a request that is answered and has no try in progress.
     void eraseIfDone(RequestId id, Context& context);
     /// Responds to a request whose deadline passed, with the outcome known in its phase.
     void expireDeadline(Request& request, Context& context);
--- a/src/decision/request_flow_keys.cpp
+++ b/src/decision/request_flow_keys.cpp
@@ -62,13 +62,14 @@
     // the address is unknown, no owner of the key can be reached. An earlier request with the key may have run, so the
     // outcome is unknown.
     const bool mayForward = !request.forwarded || m_dependencies.keys.handedOver();
+    if (context.now() >= request.deadline)
+        return refuse(request, { ErrorKind::DeadlinePassed, Outcome::Unknown, {} }, context);
     const auto address = m_dependencies.peers.endpointOf(owner.instance, owner.incarnation);
     if (!mayForward || !address)
         return refuse(request, { ErrorKind::OwnerUnreachable, Outcome::Unknown, RETRY_AFTER }, context);
     ++m_counters.forwarded;
     request.phase = Phase::Forwarded;
-    const auto remaining = std::chrono::duration_cast<Millis>(request.deadline - context.now());
-    context.emit(ForwardToOwner { request.id, owner.instance, *address, std::max(remaining, Millis { 0 }) });
+    context.emit(ForwardToOwner { request.id, owner.instance, *address, std::chrono::duration_cast<Millis>(request.deadline - context.now()) });
 }
 
 void RequestFlow::onOwnerReplied(const OwnerReplied& event, Context& context)
--- a/src/decision/request_flow_placement.cpp
+++ b/src/decision/request_flow_placement.cpp
@@ -67,7 +67,7 @@
 
 bool RequestFlow::trySend(Request& request, Context& context)
 {
-    if (!request.service->index || request.activeCount == MAX_ACTIVE || request.triedServerCount == MAX_TRIED)
+    if (!maySend(request, context.now()) || !request.service->index || request.activeCount == MAX_ACTIVE || request.triedServerCount == MAX_TRIED)
         return false;
     PickContext pick;
     pick.now = context.now();
--- a/src/decision/request_flow_sends.cpp
+++ b/src/decision/request_flow_sends.cpp
@@ -58,7 +58,7 @@
 {
     const bool mayFollow = !placedByCost(request) && request.rule->tries > request.tryCount;
     const std::uint32_t triesLeft = mayFollow ? request.rule->tries - request.tryCount : 0;
-    return now + (request.runDeadline - now) / (triesLeft + 1);
+    return now + (endOfTries(request) - now) / (triesLeft + 1);
 }
 
 void RequestFlow::countTry(Service& service, Time now)
@@ -122,7 +122,7 @@
 // Only an idempotent request, or one whose earlier tries are all known not to have run, is sent again.
 bool RequestFlow::resend(Request& request, bool reachedServer, Context& context)
 {
-    if (request.answered)
+    if (!maySend(request, context.now()))
         return false;
     if (const char* reason = reasonAgainstResend(request, reachedServer, context)) {
         recordNotSentAgain(request, reason, context);
@@ -157,6 +157,8 @@
 {
     if (placedByCost(request))
         return resend(request, true, context);
+    if (!maySend(request, context.now()))
+        return false;
     if (request.rule->kind != RequestKind::Idempotent || request.tryCount >= request.rule->tries)
         return false;
     if (context.now() + MIN_TRY_TIME >= request.deadline || m_dependencies.quarantine.isBlocked(request.fingerprint, context.now()))
@@ -171,7 +173,7 @@
 
 void RequestFlow::hedge(Request& request, Context& context)
 {
-    if (request.phase != Phase::Sent || request.activeCount != 1 || request.tryCount != 1)
+    if (request.phase != Phase::Sent || request.activeCount != 1 || request.tryCount != 1 || !maySend(request, context.now()))
         return;
     if (!request.service->budget.withdraw())
         return;
@@ -274,7 +276,7 @@
         return;
     // Nothing was written, so even an at-most-once request may be sent to another server.
     const bool atMostOnce = request.rule->kind == RequestKind::AtMostOnce;
-    if (atMostOnce && request.tryCount < MAX_CONNECT_TRIES && context.now() + MIN_TRY_TIME < request.runDeadline && trySend(request, context))
+    if (atMostOnce && request.tryCount < MAX_CONNECT_TRIES && context.now() + MIN_TRY_TIME < endOfTries(request) && trySend(request, context))
         return;
     const Outcome outcome = atMostOnce || request.tryCount == 1 ? Outcome::NotRun : Outcome::Unknown;
     completeRequest(request, { outcome, ErrorKind::ServerUnreachable, nullptr }, RETRY_AFTER, context);
--- a/tests/config_test.cpp
+++ b/tests/config_test.cpp
@@ -113,6 +113,7 @@
         { "rule of unknown service", "service = \"orders\"", "service = \"order\"", ErrorKind::UnknownService, 14 },
         { "relative path", "\"/orders\"", "\"orders\"", ErrorKind::OutOfRange, 13 },
         { "retries of at-most-once requests", "kind = \"at-most-once\"", "kind = \"at-most-once\"\ntries = 2", ErrorKind::OutOfRange, 16 },
+        { "run limit of requests without a key", "kind = \"at-most-once\"", "kind = \"at-most-once\"\nkey = \"none\"\nrun_limit = \"time-limit\"", ErrorKind::OutOfRange, 17 },
         { "hedge of at-most-once requests", "kind = \"at-most-once\"", "kind = \"at-most-once\"\nhedge_after_ms = 5", ErrorKind::OutOfRange, 16 },
         { "service as a table instead of an array of tables", "[[service]]", "[service]", ErrorKind::WrongType, 2 },
     };
