Read the caller's deadline however it is written

A deadline with a fraction, a plus sign or an exponent, in a list, or stated twice counted as none, and a negative one as well, so the backend server got the time limit of the route.

Now the smallest number stated counts, a negative one is zero, and a request with no time left is refused at once as not run. Only what is no number counts as no deadline.

--- a/src/shell/request_table.cpp
+++ b/src/shell/request_table.cpp
@@ -1,13 +1,20 @@
 #include "request_table.h"
 
+#include "header_value.h"
+
 #include <boost/json.hpp>
 #include <xxhash.h>
 
 #include <algorithm>
-#include <charconv>
 #include <cstdio>
 
 namespace cornelwind {
+namespace {
+
+    // A day. The time limits of the rules are shorter.
+    constexpr double MAX_REMAINING_MS = 24 * 3600 * 1000.0;
+
+} // namespace
 
 ActiveRequest& RequestTable::create()
 {
@@ -41,12 +48,8 @@
         event.label = *label;
     if (const std::string* key = request.head.find(KEY_HEADER))
         event.key = *key;
-    if (const std::string* deadline = request.head.find(conventions.deadlineHeader.c_str())) {
-        std::uint32_t millis = 0;
-        const auto [end, error] = std::from_chars(deadline->data(), deadline->data() + deadline->size(), millis);
-        if (error == std::errc {} && end == deadline->data() + deadline->size())
-            event.remaining = Millis { millis };
-    }
+    if (const auto millis = smallestNumber(request.head.headers, conventions.deadlineHeader))
+        event.remaining = Millis { static_cast<std::int64_t>(std::clamp(*millis, 0.0, MAX_REMAINING_MS)) };
     return event;
 }
 
--- a/src/shell/request_table.h
+++ b/src/shell/request_table.h
@@ -58,7 +58,8 @@
 /// Makes the event for a received request head.
 ///
 /// @param request must outlive the event, which refers to its strings
-/// @param conventions names the headers for the request id and the deadline; a malformed deadline is ignored
+/// @param conventions names the headers for the request id and the deadline; of several deadlines the
+///     shortest counts, and what is not a number is ignored
 HeadReceived makeHeadReceived(const ActiveRequest& request, const HttpConventions& conventions);
 
 /// Makes the response by which the fleet refuses a request. Its body holds problem details (RFC 9457).
--- a/tests/caller_test.cpp
+++ b/tests/caller_test.cpp
@@ -213,6 +213,57 @@
     CHECK(served->status() == 200);
 }
 
+TEST_CASE("However a caller writes its deadline, the backend server gets no more time")
+{
+    constexpr int timeLimitMs = 800;
+    Fleet fleet;
+    startSingleInstance(fleet);
+    struct Row {
+        const char* name;
+        std::string headers;
+        /// Time that the caller allows; 0 if the request must be refused at once.
+        int allowedMs;
+    };
+    const std::string header = "Cornelwind-Deadline-Ms: ";
+    const std::vector<Row> rows {
+        { "whole number", header + "300\r\n", 300 },
+        { "fraction", header + "300.7\r\n", 300 },
+        { "plus sign", header + "+300\r\n", 300 },
+        { "exponent", header + "3e2\r\n", 300 },
+        { "spaces around it", header + "  300  \r\n", 300 },
+        { "twice, the smaller one first", header + "300\r\n" + header + "5000\r\n", 300 },
+        { "twice, the smaller one last", header + "5000\r\n" + header + "300\r\n", 300 },
+        { "list", header + "5000, 300\r\n", 300 },
+        { "twice, once unreadable", header + "soon\r\n" + header + "300\r\n", 300 },
+        { "huge", header + "99999999999999999999999\r\n", timeLimitMs },
+        { "infinite", header + "inf\r\n", timeLimitMs },
+        { "unreadable", header + "soon\r\n", timeLimitMs },
+        { "empty", header + "\r\n", timeLimitMs },
+        { "none", "", timeLimitMs },
+        { "zero", header + "0\r\n", 0 },
+        { "less than a millisecond", header + "0.4\r\n", 0 },
+        { "negative", header + "-5\r\n", 0 },
+    };
+    int number = 0;
+    for (const Row& row : rows) {
+        INFO(row.name);
+        const std::string target = "/catalogue/deadline-" + std::to_string(++number);
+        const std::string response = exchangeRaw(fleet.callerAddress("a"), "GET " + target + " HTTP/1.1\r\nHost: t\r\nConnection: close\r\n" + row.headers + "\r\n");
+        const auto deadlines = call(fleet.serverAddress("cat-1"), "GET", "/standin/deadlines");
+        REQUIRE(deadlines);
+        const auto line = deadlines->body.find(target + " ");
+        if (!row.allowedMs) {
+            CHECK(response.find("Cornelwind-Outcome: not-run") != std::string::npos);
+            CHECK(line == std::string::npos);
+            continue;
+        }
+        REQUIRE(line != std::string::npos);
+        const int receivedMs = std::atoi(deadlines->body.c_str() + line + target.size() + 1);
+        CHECK(receivedMs <= row.allowedMs);
+        CHECK(receivedMs > 0);
+    }
+}
+
 TEST_CASE("A disconnect of the caller cancels an idempotent request but not an at-most-once request")
 {
     Fleet fleet;
--- a/tests/standin/server.cpp
+++ b/tests/standin/server.cpp
@@ -65,6 +65,10 @@
                 const std::lock_guard lock(m_mutex);
                 return writeAll(socket, makeResponse(200, m_record));
             }
+            if (request.target() == "/standin/deadlines") {
+                const std::lock_guard lock(m_mutex);
+                return writeAll(socket, makeResponse(200, m_deadlines));
+            }
             if (request.target() == "/standin/health")
                 return serveHealth(socket);
             // A test can make the reported load differ from the real one.
@@ -92,6 +96,7 @@
         // executes it. Returns whether the connection stays open.
         bool handleWork(const Message& request, const Socket& socket)
         {
+            recordDeadline(request);
             auto headers = drainHeaders();
             headers["X-Server"] = m_name;
             if (!request.header("cornelwind-try").empty())
@@ -112,6 +117,12 @@
             return keepOpen;
         }
 
+        void recordDeadline(const Message& request)
+        {
+            const std::lock_guard lock(m_mutex);
+            m_deadlines += request.target() + " " + request.header("cornelwind-deadline-ms") + "\n";
+        }
+
         bool cannotMeetDeadline(const Message& request)
         {
             const std::string remaining = request.header("cornelwind-deadline-ms");
@@ -211,6 +222,7 @@
         std::map<std::string, std::string> m_settings;
         std::set<int> m_connections;
         std::string m_record;
+        std::string m_deadlines;
     };
 
 } // namespace
--- a/tests/standin/standin.h
+++ b/tests/standin/standin.h
@@ -39,6 +39,7 @@
 /// - `GET /standin/record` returns a line `run METHOD TARGET BODY` for each request that starts to execute, a line
 ///   `cancelled METHOD TARGET BODY` for each whose client closes the connection before its end, and a line `crash` for
 ///   each crash.
+/// - `GET /standin/deadlines` returns a line `TARGET DEADLINE` for each request received, with the time that it has, in ms.
 /// - `GET /standin/health` returns `health_status`, by default 200, or closes the connection if `health_silent=1`.
 /// - `GET /standin/load` returns `shown_load`, by default the number of running requests.
 ///
