--- a/src/shell/backend_client.cpp
+++ b/src/shell/backend_client.cpp
@@ -58,8 +58,7 @@
         if (!isWithheldHeader(header.name) && !boost::algorithm::iequals(header.name, m_conventions.deadlineHeader))
             call.headers.push_back(header);
     }
-    const auto remaining = std::chrono::duration_cast<Millis>(effect.deadline - steadyNow());
-    call.headers.push_back({ m_conventions.deadlineHeader, std::to_string(std::max<std::int64_t>(remaining.count(), 0)) });
+    call.deadlineHeader = m_conventions.deadlineHeader;
     if (!m_conventions.expectedServerHeader.empty())
         call.headers.push_back({ m_conventions.expectedServerHeader, effect.name.value() });
     if (m_conventions.addFleetHeaders)
--- a/src/shell/http_client.cpp
+++ b/src/shell/http_client.cpp
@@ -42,9 +42,12 @@
     constexpr int KEEPALIVE_IDLE_S = 1;
     constexpr int KEEPALIVE_INTERVAL_S = 1;
     constexpr int KEEPALIVE_PROBES = 2;
-    std::string serializeHead(const HttpCall& call)
+
+    std::string serializeHead(const HttpCall& call, Time now)
     {
         std::string head = call.method + " " + call.target + " HTTP/1.1\r\n";
+        if (!call.deadlineHeader.empty())
+            head += call.deadlineHeader + ": " + std::to_string(std::chrono::duration_cast<Millis>(call.deadline - now).count()) + "\r\n";
         bool hasHost = false;
         for (const Header& header : call.headers) {
             head += header.name + ": " + header.value + "\r\n";
@@ -149,10 +152,11 @@
     void write()
     {
         // The deadline is checked right before the write, so that a process that was suspended does not send late.
-        if (m_done || steadyNow() >= m_call.deadline)
+        const Time now = steadyNow();
+        if (m_done || now >= m_call.deadline)
             return finish(TryResult::NotSent);
         m_sentAny = true;
-        m_head = serializeHead(m_call);
+        m_head = serializeHead(m_call, now);
         const std::array<asio::const_buffer, 2> buffers { asio::buffer(m_head), asio::buffer(m_call.body) };
         asio::async_write(m_socket, buffers, [self = shared_from_this()](ErrorCode error, std::size_t written) {
             self->m_sentAll = !error;
--- a/src/shell/http_client.h
+++ b/src/shell/http_client.h
@@ -24,6 +24,8 @@
     std::string body;
     /// The call ends at this time at the latest, and nothing is written after it.
     Time deadline;
+    /// Header that states the time until `deadline`, in ms, at the moment at which the request is written. Empty for none.
+    std::string deadlineHeader;
     /// Maximum size of the response body, in bytes.
     std::size_t maxResponse = 1024 * 1024;
     /// Whether the request may be sent on a pooled idle connection.
