Read in one place what backend servers say of themselves

What an earlier incarnation said, or another server at the same address (421), does not count. 23 forms of the headers are tested (platform_test). The unused field SendTry::incarnation goes.

--- a/include/cornelwind/decision.h
+++ b/include/cornelwind/decision.h
@@ -46,10 +46,18 @@
     ServerCleared,
     /// Backend servers of a service get no requests while others do.
     ServersIdle,
+    /// A backend server named a limit of requests a second, or another one than before.
+    ServerLimited,
+    /// A backend server no longer names a limit.
+    ServerUnlimited,
+    /// A backend server asked for no requests for a time.
+    ServerBackoff,
+    /// A backend server said something of itself that cannot be read, or that is bounded here.
+    NoticeInvalid,
 };
 
 /// Number of values of `DecisionKind`.
-inline constexpr std::size_t DECISION_KINDS = 18;
+inline constexpr std::size_t DECISION_KINDS = 22;
 
 /// @return the name used in logs, metrics and explanations
 const char* toString(DecisionKind);
--- a/include/cornelwind/effect.h
+++ b/include/cornelwind/effect.h
@@ -45,8 +45,6 @@
     std::string shedHeader;
     /// Header by which the backend server announces its shutdown.
     std::string drainHeader;
-    /// Unused; always 0.
-    std::uint64_t incarnation = 0;
 };
 
 /// Abort a try and close its connection, then report TryFinished.
--- a/include/cornelwind/event.h
+++ b/include/cornelwind/event.h
@@ -3,6 +3,7 @@
 #include "cornelwind/error.h"
 #include "cornelwind/published_server.h"
 #include "cornelwind/response.h"
+#include "cornelwind/server_notice.h"
 #include "cornelwind/types.h"
 
 #include <cstdint>
@@ -94,8 +95,8 @@
     TryResult result;
     /// The response; set for Answered and Shed, else null.
     ResponsePtr response;
-    /// Whether the response says that the backend server is shutting down.
-    bool leaving = false;
+    /// What the response says of the backend server; empty without a response.
+    ServerNotice notice {};
     /// Whether another backend server now listens at the address.
     bool misdirected = false;
 };
@@ -170,8 +171,8 @@
     bool answered = false;
     /// Whether the response has a status below 500.
     bool healthy = false;
-    /// Whether the response says that the backend server is shutting down.
-    bool leaving = false;
+    /// What the response says of the backend server; empty without a response.
+    ServerNotice notice {};
     /// Time from the start of the probe to its end.
     Duration latency {};
 };
--- a/src/decision/decision.cpp
+++ b/src/decision/decision.cpp
@@ -9,7 +9,8 @@
     constexpr std::array KIND_NAMES {
         "ejected", "ejection-withheld", "returned", "path-avoided", "path-restored", "leaving", "quarantined",
         "refused", "sheet-adopted", "sheet-refused", "member-changed", "self-distrusted", "draining", "handed-over",
-        "platform-changed", "server-suspected", "server-cleared", "servers-idle"
+        "platform-changed", "server-suspected", "server-cleared", "servers-idle",
+        "server-limited", "server-unlimited", "server-backoff", "notice-invalid"
     };
 
 } // namespace
--- a/src/decision/health.cpp
+++ b/src/decision/health.cpp
@@ -201,10 +201,8 @@
     }
 }
 
-void Health::onProbe(const ProbeFinished& event, Context& context)
+void Health::onProbe(const ProbeFinished& event)
 {
-    if (event.leaving)
-        m_ejector.onLeaving(event.server, true, context);
     // The response of a health endpoint is weak evidence, so it counts only where traffic is too low to judge the server by.
     if (m_detector.assess(event.server).recentSamples < MIN_TRAFFIC_SAMPLES)
         m_detector.probed(event.server, !event.answered || !event.healthy);
--- a/src/decision/health.h
+++ b/src/decision/health.h
@@ -48,7 +48,7 @@
     /// Adds the evidence of a peer. Stale and repeated messages are ignored.
     void onEvidence(const peer::Evidence& evidence, const MemberRecord& sender, Context& context);
     /// Handles the result of a probe of a health endpoint.
-    void onProbe(const ProbeFinished& event, Context& context);
+    void onProbe(const ProbeFinished& event);
     /// Marks servers as leaving that the platform lists as leaving.
     void onServersListed(const ServersListed& event, Context& context);
     /// Handles a notice of a backend server that it is leaving.
--- a/src/decision/reducer_state.cpp
+++ b/src/decision/reducer_state.cpp
@@ -38,8 +38,9 @@
     , m_gossip(makeIdentity(settings, incarnation), m_members, m_activeSheet)
     , m_health({ m_pool, m_quarantine, m_members, m_gossip, m_losses })
     , m_flow({ m_pool, m_losses, m_keys, m_quarantine, m_health, m_members,
-          [this](ServerId server, Context& context) { m_health.onLeaving(server, context); },
+          [this](ServerId server, std::uint64_t incarnation, const ServerNotice& notice, Context& context) { m_notices.onNotice(server, incarnation, notice, context); },
           [this](Fingerprint fingerprint, Context& context) { m_health.onCrash(fingerprint, context); } })
+    , m_notices({ m_pool, [this](ServerId server, Context& context) { m_health.onLeaving(server, context); } })
     , m_drain({ m_gossip, m_members, m_keys, m_flow }, settings.shutdownTimeout, settings.stopNotice)
     , m_serversPublishedSeparately(settings.platformForm == PlatformForm::Store)
 {
@@ -66,6 +67,14 @@
     m_gossip.setServersRevision(m_serverRegistry.revision());
 }
 
+void Reducer::State::on(const ProbeFinished& event, Context& context)
+{
+    const Server* server = m_pool.find(event.server);
+    if (event.answered && server)
+        m_notices.onNotice(event.server, server->config.incarnation, event.notice, context);
+    m_health.onProbe(event);
+}
+
 void Reducer::State::platformAnswered(Context& context)
 {
     m_gossip.platformAnswered(context.now());
--- a/src/decision/reducer_state.h
+++ b/src/decision/reducer_state.h
@@ -9,6 +9,7 @@
 #include "loss_table.h"
 #include "member_table.h"
 #include "request_flow.h"
+#include "server_notices.h"
 #include "server_registry.h"
 
 #include <optional>
@@ -34,7 +35,7 @@
     void on(const CallerDisconnected& event, Context& context) { m_flow.onCallerDisconnected(event, context); }
     void on(const TryFinished& event, Context& context) { m_flow.onTryFinished(event, context); }
     void on(const OwnerReplied& event, Context& context) { m_flow.onOwnerReplied(event, context); }
-    void on(const ProbeFinished& event, Context& context) { m_health.onProbe(event, context); }
+    void on(const ProbeFinished& event, Context& context);
     void on(const ServersListed& event, Context& context) { m_health.onServersListed(event, context); }
     void on(const StopRequested&, Context& context) { m_drain.onStopRequested(context); }
     void on(const PlatformReachable&, Context& context) { platformAnswered(context); }
@@ -71,6 +72,7 @@
     Gossip m_gossip;
     Health m_health;
     RequestFlow m_flow;
+    ServerNotices m_notices;
     Drain m_drain;
     DecisionLog m_decisions;
     std::optional<CallerLimits> m_callerLimits;
--- a/src/decision/request_flow.h
+++ b/src/decision/request_flow.h
@@ -39,8 +39,8 @@
         Quarantine& quarantine;
         SendObserver& sendObserver;
         const PeerDirectory& peers;
-        /// Called when the response of a backend server says that it is shutting down.
-        std::function<void(ServerId, Context&)> onServerLeaving;
+        /// Called with what the response of one incarnation of a backend server says of it.
+        std::function<void(ServerId, std::uint64_t incarnation, const ServerNotice&, Context&)> onNotice;
         /// Called when a backend server closed the connection of a request without a response.
         std::function<void(Fingerprint, Context&)> onServerCrash;
     };
@@ -151,6 +151,8 @@
     struct ActiveTry {
         TryId id;
         ServerId server;
+        /// Incarnation of the server that it was sent to.
+        std::uint64_t incarnation = 0;
         Time sentAt;
         /// Took longer than the latency bound of the service.
         bool slow = false;
--- a/src/decision/request_flow_sends.cpp
+++ b/src/decision/request_flow_sends.cpp
@@ -26,7 +26,7 @@
     request.tried[request.triedServerCount++] = server.id;
     ++request.tryCount;
     ++request.possiblyRunCount;
-    request.active[request.activeCount++] = { id, server.id, context.now(), false, m_dependencies.pool.isAtCapacity(server) };
+    request.active[request.activeCount++] = { id, server.id, server.config.incarnation, context.now(), false, m_dependencies.pool.isAtCapacity(server) };
     m_tries.emplace(id, request.id);
     const Time deadline = tryDeadline(request, context.now());
     recordPlaced(request, server, deadline, context);
@@ -211,8 +211,9 @@
     std::move(position + 1, last, position);
     --request.activeCount;
     m_dependencies.pool.end(ended.server);
-    if (event.leaving)
-        m_dependencies.onServerLeaving(ended.server, context);
+    // A response of another server at the same address says nothing of this one.
+    if (!event.misdirected && event.response)
+        m_dependencies.onNotice(ended.server, ended.incarnation, event.notice, context);
     if (event.result != TryResult::Answered || isServerError(*event.response))
         recordSendFailed(request, ended, event, context);
 
--- /dev/null
+++ b/src/decision/server_notices.cpp
@@ -0,0 +1,35 @@
+#include "server_notices.h"
+
+#include <utility>
+
+namespace cornelwind {
+namespace {
+
+    constexpr Duration REPORT_INTERVAL = std::chrono::seconds(10);
+
+} // namespace
+
+ServerNotices::ServerNotices(Dependencies dependencies)
+    : m_dependencies(std::move(dependencies))
+{
+}
+
+void ServerNotices::onNotice(ServerId id, std::uint64_t incarnation, const ServerNotice& notice, Context& context)
+{
+    const Server* server = m_dependencies.pool.find(id);
+    if (!server || server->config.incarnation != incarnation)
+        return;
+    if (!notice.unreadable.empty())
+        reportUnreadable(*server, notice, context);
+    if (notice.leaving)
+        m_dependencies.onLeaving(id, context);
+}
+
+void ServerNotices::reportUnreadable(const Server& server, const ServerNotice& notice, Context& context)
+{
+    std::erase_if(m_reportedAt, [&](const auto& row) { return context.now() - row.second >= REPORT_INTERVAL; });
+    if (m_reportedAt.emplace(server.id, context.now()).second)
+        context.report(DecisionKind::NoticeInvalid, server.config.name.value(), "ignored: " + notice.unreadable, {}, REPORT_INTERVAL);
+}
+
+} // namespace cornelwind
--- a/src/shell/backend_client.cpp
+++ b/src/shell/backend_client.cpp
@@ -90,6 +90,13 @@
     }
 }
 
+ServerNotice BackendClient::readNotice(const Response& response, const std::string& drainHeader) const
+{
+    ServerNotice notice = m_conventions.readNotice ? m_conventions.readNotice(response) : ServerNotice {};
+    notice.leaving = notice.leaving || hasHeader(response, drainHeader);
+    return notice;
+}
+
 void BackendClient::onResult(TryId id, const HttpResult& result)
 {
     const auto found = m_pendingTries.find(id);
@@ -99,7 +106,7 @@
     m_pendingTries.erase(found);
     TryFinished event { id, result.result, result.response };
     if (result.response) {
-        event.leaving = hasHeader(*result.response, pending.drainHeader);
+        event.notice = readNotice(*result.response, pending.drainHeader);
         event.misdirected = m_conventions.misdirectedStatus && result.response->status == m_conventions.misdirectedStatus;
         const bool incomplete = !m_conventions.completionHeader.empty() && result.response->status < FIRST_REDIRECT_STATUS && !hasHeader(*result.response, m_conventions.completionHeader);
         if (incomplete) {
@@ -135,7 +142,8 @@
         ProbeFinished event { server };
         event.answered = result.response != nullptr;
         event.healthy = event.answered && result.response->status < 500;
-        event.leaving = event.answered && hasHeader(*result.response, drainHeader);
+        if (event.answered)
+            event.notice = readNotice(*result.response, drainHeader);
         event.latency = steadyNow() - sentAt;
         m_sink(event);
     });
--- a/src/shell/backend_client.h
+++ b/src/shell/backend_client.h
@@ -38,6 +38,8 @@
 
     HttpCall makeCall(const ActiveRequest& request, const SendTry& effect, const Span& span) const;
     void addEchoHeader(const ActiveRequest& request, const Span& span, HttpCall& call) const;
+    /// @param drainHeader header that also means that the server is leaving; may be empty
+    ServerNotice readNotice(const Response& response, const std::string& drainHeader) const;
     void onResult(TryId id, const HttpResult& result);
 
     RequestTable& m_requests;
--- a/src/shell/http_conventions.h
+++ b/src/shell/http_conventions.h
@@ -1,10 +1,16 @@
 #pragma once
 
+#include "cornelwind/response.h"
+#include "cornelwind/server_notice.h"
+
 #include <cstdint>
 #include <string>
 
 namespace cornelwind {
 
+/// Reads what a backend server says of itself in a complete response.
+using NoticeReader = ServerNotice (*)(const Response&);
+
 /// Conventions between callers, the fleet and backend servers that HTTP itself does not define.
 struct HttpConventions {
     /// Header with the time remaining until the deadline, in milliseconds; read from callers and sent to backend servers.
@@ -26,6 +32,8 @@
     bool fractionalRetryAfter = false;
     /// Whether the fleet adds its own headers: outcome and next key to responses, trace context to tries.
     bool addFleetHeaders = true;
+    /// Null if backend servers announce only that they are leaving, by the `SheetService::drainHeader` of their service.
+    NoticeReader readNotice = nullptr;
 };
 
 } // namespace cornelwind
--- a/src/shell/instance.cpp
+++ b/src/shell/instance.cpp
@@ -32,6 +32,7 @@
         case DecisionKind::SheetRefused:
         case DecisionKind::SelfDistrusted:
         case DecisionKind::Quarantined:
+        case DecisionKind::NoticeInvalid:
             return LogLevel::Warn;
         default:
             return LogLevel::Info;
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -2,6 +2,7 @@
 #include "cornelwind/router.h"
 #include "metadata_store_watcher.h"
 #include "platform/adapter.h"
+#include "platform/notice.h"
 #include "platform/values.h"
 #include "request_table.h"
 
@@ -206,6 +207,56 @@
     CHECK(platform::readServer(ServerName { "i" }, rows[1].text)->leaving);
 }
 
+TEST_CASE("What a backend server says of itself is read, and bad values are left out")
+{
+    using Kind = StatedLimit::Kind;
+    struct Row {
+        const char* name;
+        std::uint16_t status;
+        std::vector<Header> headers;
+        bool leaving;
+        Kind kind;
+        double perSecond;
+        double backoffSeconds;
+        bool unreadable;
+    };
+    const Header twoAndAHalf { "Server-Limit", "2.5" };
+    const Row rows[] = {
+        { "nothing", 200, { { "Content-Type", "text/plain" } }, false, Kind::None, 0, 0, false },
+        { "leaving", 200, { { "server-leaving", "1" } }, true, Kind::None, 0, 0, false },
+        { "leaving in a failure", 500, { { "Server-Leaving", "1" } }, true, Kind::None, 0, 0, false },
+        { "leaving: 0", 200, { { "Server-Leaving", "0" } }, false, Kind::None, 0, 0, true },
+        { "leaving: empty", 200, { { "Server-Leaving", "" } }, false, Kind::None, 0, 0, true },
+        { "leaving: a word", 200, { { "Server-Leaving", "soon" } }, false, Kind::None, 0, 0, true },
+        { "limit", 200, { twoAndAHalf }, false, Kind::PerSecond, 2.5, 0, false },
+        { "limit in a failure", 503, { twoAndAHalf }, false, Kind::PerSecond, 2.5, 0, false },
+        { "limit of a whole number", 200, { { "Server-Limit", " 12 " } }, false, Kind::PerSecond, 12, 0, false },
+        { "limit twice", 200, { twoAndAHalf, { "Server-Limit", "9" } }, false, Kind::PerSecond, 2.5, 0, false },
+        { "limit as a list", 200, { { "Server-Limit", "9, 2.5" } }, false, Kind::PerSecond, 2.5, 0, false },
+        { "limit of zero", 200, { { "Server-Limit", "0" } }, false, Kind::PerSecond, 0, 0, false },
+        { "huge limit", 200, { { "Server-Limit", "1e300" } }, false, Kind::PerSecond, 1e300, 0, false },
+        { "negative limit", 200, { { "Server-Limit", "-1" } }, false, Kind::Unreadable, 0, 0, true },
+        { "limit beyond any number", 200, { { "Server-Limit", "1e999" } }, false, Kind::Unreadable, 0, 0, true },
+        { "limit that is no number", 200, { { "Server-Limit", "nan" } }, false, Kind::Unreadable, 0, 0, true },
+        { "empty limit", 200, { { "Server-Limit", "" } }, false, Kind::Unreadable, 0, 0, true },
+        { "backoff", 503, { { "Retry-After", "3" } }, false, Kind::None, 0, 3, false },
+        { "backoff with a fraction", 503, { { "Retry-After", "0.25" } }, false, Kind::None, 0, 0.25, false },
+        { "backoff with another status", 429, { { "Retry-After", "3" } }, false, Kind::None, 0, 0, false },
+        { "negative backoff", 503, { { "Retry-After", "-3" } }, false, Kind::None, 0, 0, true },
+        { "backoff as a date", 503, { { "Retry-After", "Fri, 31 Dec 1999 23:59:59 GMT" } }, false, Kind::None, 0, 0, true },
+        { "huge backoff", 503, { { "Retry-After", "1e300" } }, false, Kind::None, 0, 24 * 3600, false },
+    };
+    for (const Row& row : rows) {
+        INFO(row.name);
+        const ServerNotice notice = platform::readNotice({ row.status, row.headers, {} });
+        CHECK(notice.leaving == row.leaving);
+        CHECK(notice.limit.kind == row.kind);
+        CHECK(notice.limit.perSecond == row.perSecond);
+        CHECK(std::chrono::duration<double>(notice.backoff).count() == row.backoffSeconds);
+        CHECK(notice.unreadable.empty() != row.unreadable);
+    }
+}
+
 TEST_CASE("The longest path prefix of a host matches, including its trailing slash")
 {
     Reasons reasons;
--- a/tests/reducer_test.cpp
+++ b/tests/reducer_test.cpp
@@ -224,7 +224,7 @@
     evidence->mutable_from()->set_state(1);
     evidence->mutable_evidence()->set_sequence(1);
     evidence->mutable_evidence()->add_leaving(serverIdOf(leavingServer).value());
-    for (const Row& row : { Row { "its health endpoint", ProbeFinished { serverIdOf(leavingServer), true, true, true, {} } },
+    for (const Row& row : { Row { "its health endpoint", ProbeFinished { serverIdOf(leavingServer), true, true, { true }, {} } },
              Row { "the instance list", ServersListed { { leavingServer } } }, Row { "another entry instance", PeerMessageReceived { evidence } },
              Row { "its own response", Tick {} } }) {
         INFO(row.name);
