--- a/tests/support/simulated_fleet.cpp
+++ b/tests/support/simulated_fleet.cpp
@@ -41,6 +41,15 @@
     constexpr double SOUND_AFTER_OWN_FAILURE_SECONDS = 2;
     constexpr double SOUND_AFTER_TROUBLE_SECONDS = 6;
 
+    // A server may get LIMIT_FACTOR times its limit, and LIMIT_SLACK requests more, in any LIMIT_WINDOW_SECONDS.
+    constexpr double LIMIT_WINDOW_SECONDS = 4;
+    constexpr double LIMIT_FACTOR = 1.5;
+    constexpr double LIMIT_SLACK = 5;
+    // A limit counts this long after it was first named, and for an entry instance this long after it got a response with it.
+    constexpr double SETTLING_SECONDS = 3;
+    constexpr double BOUND_AFTER_SECONDS = 0.5;
+    constexpr double EXCUSED_SECONDS = 3;
+
     Duration durationOf(double seconds) { return Duration { static_cast<Duration::rep>(seconds * 1e6) }; }
 
     /// A span of time, in seconds from the start of the load.
@@ -55,12 +64,25 @@
         std::vector<bool> instances;
     };
 
+    /// A limit that a server names, in requests a second.
+    struct NamedLimit {
+        Span span;
+        double perSecond;
+    };
+
+    struct Arrival {
+        double at;
+        std::size_t instance;
+    };
+
     struct SimulatedServer {
         std::size_t zone = 0;
         std::vector<Span> ownFailures;
         std::vector<ServerTrouble> troubles;
-        /// Arrivals of requests, in seconds.
-        std::vector<double> arrivals;
+        std::vector<NamedLimit> limits;
+        std::vector<Arrival> arrivals;
+        /// When each entry instance first got a response with a limit that holds, by its start.
+        std::map<std::pair<double, std::size_t>, double> toldAt;
         std::uint32_t running = 0;
         std::deque<std::function<void()>> queue;
     };
@@ -83,8 +105,13 @@
 
     void run()
     {
-        for (std::size_t i = 0; i < m_instances.size(); ++i)
+        for (std::size_t i = 0; i < m_instances.size(); ++i) {
             schedule(durationOf(0.01 * uniform()), [this, i] { tick(i); });
+            for (const Trouble& trouble : m_instances[i].troubles) {
+                if (trouble.kind == TroubleKind::InstancesRestarted)
+                    schedule(WARMUP + durationOf(trouble.to), [this, i] { restart(i); });
+            }
+        }
         schedule(WARMUP, [this] { arrive(); });
         const Time end = m_start + durationOf(m_day.lengthSeconds) + CALLER_DEADLINE;
         while (!m_events.empty() && m_events.top().at <= end) {
@@ -114,6 +141,33 @@
         return text;
     }
 
+    std::vector<LimitReport> worstLimitWindows() const
+    {
+        std::vector<LimitReport> reports;
+        for (std::size_t i = 0; i < m_servers.size(); ++i) {
+            for (const NamedLimit& limit : m_servers[i].limits)
+                reports.push_back(worstWindow(i, limit));
+        }
+        return reports;
+    }
+
+    std::pair<double, double> limitedUse() const
+    {
+        double used = 0;
+        double allowed = 0;
+        for (const SimulatedServer& server : m_servers) {
+            for (const NamedLimit& limit : server.limits) {
+                const Span span { limit.span.from + SETTLING_SECONDS, std::min(limit.span.to, m_day.lengthSeconds) };
+                allowed += limit.perSecond * (span.to - span.from);
+                used += static_cast<double>(std::count_if(server.arrivals.begin(), server.arrivals.end(), [&](const Arrival& arrival) { return within(span, arrival.at); }));
+            }
+        }
+        return { used, allowed };
+    }
+
+    double slowestRefusal() const { return m_slowestRefusal; }
+    std::size_t refusalsWithoutTime() const { return m_refusalsWithoutTime; }
+
     std::size_t requests() const { return m_requests.size(); }
     std::size_t served() const
     {
@@ -131,6 +185,8 @@
 
     struct Instance {
         std::size_t zone = 0;
+        /// What has been done to it.
+        std::vector<Trouble> troubles;
         /// Relative number of callers, which a balancer assigns by hash.
         double weight = 1;
         std::unique_ptr<Reducer> reducer;
@@ -141,6 +197,7 @@
     struct CallerRequest {
         double at = 0;
         bool served = false;
+        std::size_t instance = 0;
     };
 
     double uniform() { return std::uniform_real_distribution<double>(0, 1)(m_random); }
@@ -161,12 +218,14 @@
         }
         for (const Trouble& trouble : m_day.troubles) {
             for (SimulatedServer& server : m_servers) {
-                if (trouble.kind != TroubleKind::ZoneStopped && chance(trouble.servers))
+                if (concernsServers(trouble.kind) && chance(trouble.share))
                     addTrouble(server, trouble);
             }
         }
     }
 
+    static bool concernsServers(TroubleKind kind) { return kind < TroubleKind::ZoneStopped || kind == TroubleKind::ServersLimited; }
+
     void drawOwnFailures(SimulatedServer& server)
     {
         // With exponential lengths, several cycles before the start bring the servers into the steady state.
@@ -186,6 +245,8 @@
 
     void addTrouble(SimulatedServer& server, const Trouble& trouble)
     {
+        if (trouble.kind == TroubleKind::ServersLimited)
+            return server.limits.push_back({ { trouble.from, trouble.to }, trouble.strength * (0.5 + uniform()) });
         ServerTrouble added { trouble, {} };
         if (trouble.kind == TroubleKind::LinksLossy) {
             for (std::size_t i = 0; i < m_day.instances; ++i)
@@ -227,34 +288,75 @@
 
     void startInstances()
     {
-        InstancesListed list;
         for (std::size_t i = 0; i < m_day.instances; ++i)
-            list.instances.push_back({ InstanceName { "i" + std::to_string(i) }, ZoneName { zoneName(i % m_day.zones) }, instanceAddress(i), false });
+            m_list.instances.push_back({ InstanceName { "i" + std::to_string(i) }, ZoneName { zoneName(i % m_day.zones) }, instanceAddress(i), false });
         m_instances.resize(m_day.instances);
         for (std::size_t i = 0; i < m_instances.size(); ++i) {
             m_instances[i].zone = i % m_day.zones;
             m_instanceAt[instanceAddress(i).host] = i;
             m_instances[i].weight = 0.5 + uniform();
-            Settings settings;
-            settings.name = list.instances[i].name;
-            settings.zone = list.instances[i].zone;
-            settings.peers = list.instances[i].address;
-            settings.fleetRetryAllowance = 214;
-            m_instances[i].reducer = std::make_unique<Reducer>(Reducer::Builder()
+        }
+        for (const Trouble& trouble : m_day.troubles) {
+            for (Instance& instance : m_instances) {
+                if (trouble.kind > TroubleKind::ServersLimited && chance(trouble.share))
+                    instance.troubles.push_back(trouble);
+            }
+        }
+        for (std::size_t i = 0; i < m_instances.size(); ++i)
+            createReducer(i);
+        for (std::size_t i = 0; i < m_instances.size(); ++i)
+            introduce(i);
+    }
+
+    void createReducer(std::size_t index)
+    {
+        Settings settings;
+        settings.name = m_list.instances[index].name;
+        settings.zone = m_list.instances[index].zone;
+        settings.peers = m_list.instances[index].address;
+        settings.fleetRetryAllowance = 214;
+        m_instances[index].tries.clear();
+        m_instances[index].reducer = std::make_unique<Reducer>(Reducer::Builder()
                                                                    .settings(settings)
-                                                                   .incarnation(Incarnation { i + 1 })
+                                                                   .incarnation(Incarnation { ++m_lastIncarnation })
                                                                    .start(m_now)
                                                                    .sheetReader([this](std::string_view, Reasons&) { return makeSheet(); })
                                                                    .build());
+    }
+
+    void introduce(std::size_t index)
+    {
+        apply(index, m_list);
+        apply(index, SheetFetched { "1" });
+    }
+
+    void restart(std::size_t index)
+    {
+        createReducer(index);
+        introduce(index);
+    }
+
+    /// @return the trouble of this kind that the entry instance has now, or null
+    const Trouble* current(std::size_t instance, TroubleKind kind) const
+    {
+        for (const Trouble& trouble : m_instances[instance].troubles) {
+            if (trouble.kind == kind && within({ trouble.from, trouble.to }, secondsNow()))
+                return &trouble;
         }
-        for (std::size_t i = 0; i < m_instances.size(); ++i) {
-            apply(i, list);
-            apply(i, SheetFetched { "1" });
-        }
+        return nullptr;
+    }
+
+    bool isKilled(std::size_t instance) const { return current(instance, TroubleKind::InstancesRestarted); }
+    bool isFrozen(std::size_t instance) const { return current(instance, TroubleKind::InstancesFrozen); }
+    bool areApart(std::size_t a, std::size_t b) const
+    {
+        return static_cast<bool>(current(a, TroubleKind::InstancesApart)) != static_cast<bool>(current(b, TroubleKind::InstancesApart));
     }
 
     bool isStopped(std::size_t instance) const
     {
+        if (isKilled(instance))
+            return true;
         const double at = secondsNow();
         return std::any_of(m_day.troubles.begin(), m_day.troubles.end(), [&](const Trouble& trouble) {
             return trouble.kind == TroubleKind::ZoneStopped && m_instances[instance].zone == 0 && trouble.from <= at && at < trouble.to;
@@ -263,7 +365,7 @@
 
     void tick(std::size_t instance)
     {
-        if (!isStopped(instance))
+        if (!isStopped(instance) && !isFrozen(instance))
             apply(instance, Tick {});
         schedule(TICK, [this, instance] { tick(instance); });
     }
@@ -275,10 +377,10 @@
         schedule(durationOf(std::exponential_distribution<double>(m_day.requestsPerSecond)(m_random)), [this] { arrive(); });
         std::vector<double> weights;
         for (std::size_t i = 0; i < m_instances.size(); ++i)
-            weights.push_back(isStopped(i) ? 0 : m_instances[i].weight);
+            weights.push_back(isStopped(i) || isFrozen(i) ? 0 : m_instances[i].weight);
         const std::size_t instance = std::discrete_distribution<std::size_t>(weights.begin(), weights.end())(m_random);
         const RequestId id { m_requests.size() };
-        m_requests.push_back({ secondsNow(), false });
+        m_requests.push_back({ secondsNow(), false, instance });
         apply(instance, HeadReceived { id, "POST", "/order", {}, CALLER_DEADLINE });
         apply(instance, BodyReceived { id, Fingerprint { id.value() + 1 } });
     }
@@ -304,17 +406,36 @@
 
     void handle(std::size_t, const RelayResponse& effect) { m_requests[effect.request.value()].served = effect.response->status == m_success->status; }
 
+    void handle(std::size_t, const Refuse& effect)
+    {
+        if (effect.outcome != Outcome::NotRun)
+            return;
+        m_slowestRefusal = std::max(m_slowestRefusal, secondsNow() - m_requests[effect.request.value()].at);
+        m_refusalsWithoutTime += !effect.retryAfter;
+    }
+
     void handle(std::size_t from, const SendPeerMessage& effect)
     {
         const auto found = m_instanceAt.find(effect.address.host);
         if (found == m_instanceAt.end())
             return;
         const std::size_t to = found->second;
-        const Duration delay = m_instances[from].zone == m_instances[to].zone ? ZONE_DELAY : REMOTE_DELAY;
-        schedule(delay, [this, to, message = std::shared_ptr<const peer::Envelope>(effect.message)] {
-            if (!isStopped(to))
-                apply(to, PeerMessageReceived { message });
-        });
+        if (areApart(from, to))
+            return;
+        const Trouble* lag = current(from, TroubleKind::InstancesLag);
+        const Duration delay = (m_instances[from].zone == m_instances[to].zone ? ZONE_DELAY : REMOTE_DELAY) + (lag ? durationOf(lag->strength) : Duration {});
+        schedule(delay, [this, to, message = std::shared_ptr<const peer::Envelope>(effect.message)] { receive(to, PeerMessageReceived { message }); });
+    }
+
+    // A frozen instance handles what arrives when it goes on. A killed one loses it.
+    void receive(std::size_t instance, EventBody event)
+    {
+        if (const Trouble* freeze = current(instance, TroubleKind::InstancesFrozen)) {
+            schedule(durationOf(freeze->to - secondsNow()) + TICK, [this, instance, event = std::move(event)] { receive(instance, event); });
+            return;
+        }
+        if (!isStopped(instance))
+            apply(instance, std::move(event));
     }
 
     void handle(std::size_t instance, const SendTry& effect)
@@ -322,7 +443,7 @@
         const std::size_t index = m_indexOf.at(effect.server);
         const Duration delay = m_instances[instance].zone == m_servers[index].zone ? ZONE_DELAY : REMOTE_DELAY;
         m_instances[instance].tries.insert(effect.id.value());
-        schedule(effect.deadline - m_now, [this, instance, id = effect.id] { finish(instance, id, TryResult::TimedOut, nullptr); });
+        schedule(effect.deadline - m_now, [this, instance, id = effect.id] { finish(instance, id, TryResult::TimedOut, nullptr, {}); });
         if (linkLoses(instance, index))
             return;
         schedule(delay, [this, instance, index, delay, id = effect.id] { reachServer(instance, index, delay, id); });
@@ -330,7 +451,7 @@
 
     void handle(std::size_t instance, const CancelTry& effect)
     {
-        schedule(Duration {}, [this, instance, id = effect.id] { finish(instance, id, TryResult::Cancelled, nullptr); });
+        schedule(Duration {}, [this, instance, id = effect.id] { finish(instance, id, TryResult::Cancelled, nullptr, {}); });
     }
 
     bool linkLoses(std::size_t instance, std::size_t server)
@@ -356,12 +477,12 @@
     void reachServer(std::size_t instance, std::size_t index, Duration delay, TryId id)
     {
         SimulatedServer& server = m_servers[index];
-        server.arrivals.push_back(secondsNow());
+        server.arrivals.push_back({ secondsNow(), instance });
         const bool failsByItself = std::any_of(server.ownFailures.begin(), server.ownFailures.end(), [this](const Span& span) { return within(span, secondsNow()); });
         if (chance(failsByItself ? UNHEALTHY_ERRORS : activeStrength(server, TroubleKind::ServersFail)))
-            return schedule(ERROR_TIME + delay, [this, instance, id] { finish(instance, id, TryResult::Answered, m_failure); });
+            return schedule(ERROR_TIME, [=, this] { respond(instance, index, delay, id, TryResult::Answered, m_failure); });
         if (server.running + server.queue.size() >= m_day.slots + SERVER_QUEUE)
-            return schedule(delay, [this, instance, id] { finish(instance, id, TryResult::Shed, m_shed); });
+            return respond(instance, index, delay, id, TryResult::Shed, m_shed);
         server.queue.emplace_back([this, instance, index, delay, id] { work(instance, index, delay, id); });
         startQueued(server);
     }
@@ -385,17 +506,75 @@
         schedule(durationOf(seconds), [=, this] {
             --m_servers[index].running;
             startQueued(m_servers[index]);
-            schedule(delay, [=, this] {
-                finish(instance, id, isLost ? TryResult::Broken : TryResult::Answered, isLost ? nullptr : fails ? m_failure
-                                                                                                                : m_success);
-            });
+            if (isLost)
+                return schedule(delay, [=, this] { finish(instance, id, TryResult::Broken, nullptr, {}); });
+            respond(instance, index, delay, id, TryResult::Answered, fails ? m_failure : m_success);
+        });
+    }
+
+    // Sends a response, which names the limit that the server has now.
+    void respond(std::size_t instance, std::size_t index, Duration delay, TryId id, TryResult result, const ResponsePtr& response)
+    {
+        ServerNotice notice;
+        const NamedLimit* limit = currentLimit(m_servers[index]);
+        if (limit)
+            notice.limit = { StatedLimit::Kind::PerSecond, limit->perSecond };
+        schedule(delay, [=, this, since = limit ? limit->span.from : 0.0] {
+            if (notice.limit.kind == StatedLimit::Kind::PerSecond)
+                m_servers[index].toldAt.try_emplace({ since, instance }, secondsNow());
+            finish(instance, id, result, response, notice);
+        });
+    }
+
+    const NamedLimit* currentLimit(const SimulatedServer& server) const
+    {
+        for (const NamedLimit& limit : server.limits) {
+            if (within(limit.span, secondsNow()))
+                return &limit;
+        }
+        return nullptr;
+    }
+
+    void finish(std::size_t instance, TryId id, TryResult result, const ResponsePtr& response, const ServerNotice& notice)
+    {
+        if (m_instances[instance].tries.erase(id.value()))
+            receive(instance, TryFinished { id, result, response, notice });
+    }
+
+    bool isExcused(std::size_t instance, double at) const
+    {
+        return std::any_of(m_instances[instance].troubles.begin(), m_instances[instance].troubles.end(), [at](const Trouble& trouble) {
+            const bool excuses = trouble.kind == TroubleKind::InstancesFrozen || trouble.kind == TroubleKind::InstancesRestarted;
+            return excuses && within({ trouble.from, trouble.to + EXCUSED_SECONDS }, at);
         });
     }
 
-    void finish(std::size_t instance, TryId id, TryResult result, const ResponsePtr& response)
+    // The times of the requests that count for a limit.
+    std::vector<double> boundArrivals(const SimulatedServer& server, const NamedLimit& limit) const
+    {
+        std::vector<double> times;
+        for (const Arrival& arrival : server.arrivals) {
+            const auto told = server.toldAt.find({ limit.span.from, arrival.instance });
+            const bool isBound = told != server.toldAt.end() && told->second + BOUND_AFTER_SECONDS <= arrival.at;
+            if (isBound && within({ limit.span.from + SETTLING_SECONDS, limit.span.to }, arrival.at) && !isExcused(arrival.instance, arrival.at))
+                times.push_back(arrival.at);
+        }
+        return times;
+    }
+
+    LimitReport worstWindow(std::size_t index, const NamedLimit& limit) const
     {
-        if (m_instances[instance].tries.erase(id.value()) && !isStopped(instance))
-            apply(instance, TryFinished { id, result, response });
+        LimitReport worst { index, limit.span.from, limit.perSecond, 0, LIMIT_FACTOR * limit.perSecond * LIMIT_WINDOW_SECONDS + LIMIT_SLACK };
+        const std::vector<double> times = boundArrivals(m_servers[index], limit);
+        for (std::size_t i = 0; i < times.size(); ++i) {
+            const auto end = std::lower_bound(times.begin(), times.end(), times[i] + LIMIT_WINDOW_SECONDS);
+            const auto count = static_cast<std::size_t>(end - times.begin()) - i;
+            if (count > worst.arrivals) {
+                worst.arrivals = count;
+                worst.from = times[i];
+            }
+        }
+        return worst;
     }
 
     bool isSound(const SimulatedServer& server, const Span& window) const
@@ -417,8 +596,8 @@
             if (!isSound(server, span))
                 continue;
             ++report.sound;
-            const auto first = std::lower_bound(server.arrivals.begin(), server.arrivals.end(), span.from);
-            report.idle += first == server.arrivals.end() || *first >= span.to;
+            const auto first = std::lower_bound(server.arrivals.begin(), server.arrivals.end(), span.from, [](const Arrival& arrival, double at) { return arrival.at < at; });
+            report.idle += first == server.arrivals.end() || first->at >= span.to;
         }
         for (const CallerRequest& request : m_requests) {
             if (!within(span, request.at))
@@ -441,6 +620,10 @@
     std::unordered_map<std::string, std::size_t> m_instanceAt;
     std::vector<CallerRequest> m_requests;
     std::vector<Decision> m_idleReports;
+    InstancesListed m_list;
+    std::uint64_t m_lastIncarnation = 0;
+    double m_slowestRefusal = 0;
+    std::size_t m_refusalsWithoutTime = 0;
     const ResponsePtr m_success = std::make_shared<const Response>(Response { 200, {}, {} });
     const ResponsePtr m_failure = std::make_shared<const Response>(Response { 500, {}, {} });
     const ResponsePtr m_shed = std::make_shared<const Response>(Response { 503, {}, {} });
@@ -468,6 +651,26 @@
     return m_play->idleReports(from, seconds);
 }
 
+std::vector<LimitReport> SimulatedFleet::worstLimitWindows() const
+{
+    return m_play->worstLimitWindows();
+}
+
+std::pair<double, double> SimulatedFleet::limitedUse() const
+{
+    return m_play->limitedUse();
+}
+
+double SimulatedFleet::slowestRefusal() const
+{
+    return m_play->slowestRefusal();
+}
+
+std::size_t SimulatedFleet::refusalsWithoutTime() const
+{
+    return m_play->refusalsWithoutTime();
+}
+
 std::size_t SimulatedFleet::requests() const
 {
     return m_play->requests();
--- a/tests/support/simulated_fleet.h
+++ b/tests/support/simulated_fleet.h
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <memory>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace cornelwind::test {
@@ -20,6 +21,17 @@
     LinksLossy,
     /// The entry instances of one availability zone stop. Their callers go to the other availability zones.
     ZoneStopped,
+    /// The affected backend servers name a limit in all their responses: `strength` requests a second from all entry instances
+    /// together, less or more by up to a half.
+    ServersLimited,
+    /// The affected entry instances stand still, and go on with what arrived meanwhile.
+    InstancesFrozen,
+    /// The affected entry instances are killed, and start again without state.
+    InstancesRestarted,
+    /// The affected entry instances exchange no messages with the others, nor with each other across this line.
+    InstancesApart,
+    /// Messages from the affected entry instances arrive `strength` seconds late.
+    InstancesLag,
 };
 
 /// One trouble of a simulated day. Times are in seconds from the start of the load.
@@ -27,9 +39,9 @@
     TroubleKind kind;
     double from;
     double to;
-    /// Share of the backend servers that are affected, drawn anew for each trouble.
-    double servers;
-    /// Share of the requests at an affected server or link that fail.
+    /// Share of the backend servers, or of the entry instances, that are affected, drawn anew for each trouble.
+    double share;
+    /// Share of the requests at an affected server or link that fail, unless the kind says otherwise.
     double strength;
 };
 
@@ -63,6 +75,19 @@
     std::size_t unserved = 0;
 };
 
+/// Requests that a limited server got in a window of four seconds.
+struct LimitReport {
+    /// Index of the server, and start of the window in seconds from the start of the load.
+    std::size_t server = 0;
+    double from = 0;
+    /// Requests a second that the server named.
+    double limit = 0;
+    /// Requests from entry instances that had passed on a response with the limit half a second before.
+    std::size_t arrivals = 0;
+    /// One and a half times what the limit allows in the window, and five more.
+    double allowed = 0;
+};
+
 /// A fleet of reducers with one service whose requests must not repeat, in simulated time.
 ///
 /// A server is sound if it does not fail by itself and has not for 2 s, and neither it nor its links have had any trouble for
@@ -81,6 +106,21 @@
     /// @return what the fleet reported of idle servers from the start of a window to `seconds` later, one line each
     std::string idleReports(double from, double seconds) const;
 
+    /// Counts what limited servers got, from 3 s after they named the limit until they named another or none.
+    ///
+    /// An entry instance is left out while it is frozen or killed and for 3 s after that.
+    ///
+    /// @return the window with the most arrivals beyond what is allowed, or nearest to it; empty if no server is limited
+    std::vector<LimitReport> worstLimitWindows() const;
+
+    /// @return requests that limited servers got while they were limited, and what their limits allowed for that time
+    std::pair<double, double> limitedUse() const;
+
+    /// @return the longest time, in seconds, from the arrival of a request to its refusal as not run
+    double slowestRefusal() const;
+    /// @return number of refusals as not run that do not say when to try again
+    std::size_t refusalsWithoutTime() const;
+
     /// @return number of requests, and of those that got the response of a server
     std::size_t requests() const;
     std::size_t served() const;
