Divide the limits of backend servers among the entry instances by grants of a coordinator

Cause: nothing read Server-Limit, and nothing in the fleet divides a rate that holds for all instances together; the load of a server followed from its slots alone. Ruled out: a limit that each instance keeps for itself, and retries or trials on top of one that is kept (no code read the header).

Why it works: a limited server takes a request only against a grant of its coordinator, the live member with the highest hash, and grants follow each other at the rate of the limit. Retries, trials, hedges and probes go through the same choice. A second coordinator, or one that took over just now, hands out at half the rate, so two views of the members sum up to one and a half times the limit at most. A request that no server takes in time is refused at once with the time of the next turn. Zero counts as 0.5 a second, so no value puts a server out of use for ever.

--- a/include/cornelwind/error.h
+++ b/include/cornelwind/error.h
@@ -29,6 +29,7 @@
     QueueFull,
     QueueTimeout,
     NoServer,
+    ServersLimited,
     DeadlinePassed,
     ServerShed,
     ServerUnreachable,
--- a/include/cornelwind/idle_reason.h
+++ b/include/cornelwind/idle_reason.h
@@ -11,6 +11,8 @@
     NotServing,
     /// It shed a request a moment ago.
     Shedding,
+    /// It limits its rate, and this entry instance has no grant for it.
+    Limited,
     /// Suspected, and the hold after its last failure or during a trial has not ended.
     OnHold,
     /// Suspected, and it is still the turn of other entry instances to try it.
@@ -24,7 +26,7 @@
 };
 
 /// Number of values of `IdleReason`.
-inline constexpr std::size_t IDLE_REASONS = 7;
+inline constexpr std::size_t IDLE_REASONS = 8;
 
 /// @return the name used in logs and metrics
 const char* toString(IdleReason);
--- a/include/cornelwind/reducer.h
+++ b/include/cornelwind/reducer.h
@@ -40,6 +40,13 @@
     double badShare = 0;
     /// Share of bad outcomes expected of a healthy server, from 0 to 1.
     double expectedShare = 0;
+    /// Requests a second that it takes from all entry instances together, as far as this one knows, since when it is known,
+    /// and who said so; 0 and empty if it names no limit.
+    double limit = 0;
+    Duration limitAge {};
+    std::string limitSource;
+    /// Time for which it wants no requests from this entry instance; zero if it has not asked for that.
+    Duration backoff {};
     /// Why it gets no requests; empty if an entry instance of this availability zone has sent it one in the last
     /// 2 s, or if it is in another availability zone.
     std::optional<IdleReason> idle;
--- a/include/cornelwind/retry_after.h
+++ b/include/cornelwind/retry_after.h
@@ -39,4 +39,14 @@
 /// @return the delay from now
 Millis retryAfter(const RetryAfterInput& input, std::uint64_t random);
 
+/// Computes the delay after which the caller of a request should retry that found no backend server open.
+///
+/// The delay is at least the time until a server opens, so that the retry does not come in vain, and at most
+/// half of that more, so that callers that were refused together do not retry together.
+///
+/// @param untilOpening time until the first server opens, as far as known
+/// @param random uniformly distributed bits
+/// @return the delay from now, between 20 ms and 60 s
+Millis retryAfterOpening(Duration untilOpening, std::uint64_t random);
+
 } // namespace cornelwind
--- a/include/cornelwind/server_pool.h
+++ b/include/cornelwind/server_pool.h
@@ -3,6 +3,7 @@
 #include "cornelwind/belief.h"
 #include "cornelwind/idle_reason.h"
 #include "cornelwind/peer_load_table.h"
+#include "cornelwind/quota_table.h"
 #include "cornelwind/selector.h"
 #include "cornelwind/sheet.h"
 #include "cornelwind/types.h"
@@ -53,6 +54,8 @@
     Time rampEnd;
     /// The server shed a request and gets no new ones before this time.
     Time busyUntil;
+    /// It asked for no requests from this entry instance before this time.
+    Time backoffUntil;
     /// Number of recent ejections; each one doubles the next ejection time, up to a limit.
     std::uint32_t ejectionCount = 0;
     /// Latest time at which an entry instance of the zone is known to have sent it a request.
@@ -90,6 +93,12 @@
     /// Number of requests that a server may have in flight beyond its slots. The requests of the other entry
     /// instances of the zone count as well.
     std::uint32_t overcommit = 0;
+    /// Number of requests of the service that wait for a server, this one included. Grants are asked for at as many limited
+    /// servers at a time.
+    std::size_t waiting = 1;
+    /// Time for which the request has waited, and for which it goes on to wait if no server can take it.
+    Duration waited {};
+    Duration patience {};
 };
 
 /// Position of this entry instance among the live ones.
@@ -144,6 +153,10 @@
     /// @param answered whether the server responded in time
     void recordPeerUse(ServerId server, bool answered, Time now);
 
+    /// @return the servers that limit their rate, and the grants for them
+    QuotaTable& quotas() { return m_quotas; }
+    const QuotaTable& quotas() const { return m_quotas; }
+
     /// @return the requests that the other instances of the zone have in flight
     PeerLoadTable& peerLoads() { return m_peerLoads; }
     /// @return the requests that this entry instance has in flight, for each server with any
@@ -159,6 +172,10 @@
     /// @return whether any server of the service accepts requests, with or without free slots
     bool hasUsable(std::uint32_t service) const;
 
+    /// @return when the first server of the service opens that accepts requests: `now` unless all are limited and the
+    ///     turn of this entry instance is later at each; see `QuotaTable::expectedOpening`
+    Time earliestOpening(std::uint32_t service, Time now) const;
+
     Server* find(ServerId id);
     const Server* find(ServerId id) const;
 
@@ -175,8 +192,22 @@
     std::size_t size() const { return m_servers.size(); }
 
 private:
+    struct UngrantedServer {
+        ServerId id;
+        double cost = 0;
+        double risk = 0;
+    };
+
     Server* pickBySlots(std::uint32_t service, const PickContext& context);
     Server* pickByCost(std::uint32_t service, const PickContext& context);
+    /// Asks for grants at the limited servers without one, as many as requests wait.
+    void wantGrants(const PickContext& context);
+    /// If a wait for limited servers without a grant is worth it, leaves only these.
+    ///
+    /// @param chosenCost cost of the server that could take the request now
+    /// @param chosenRisk its risk
+    /// @return whether there are any
+    bool isWorthWaiting(const PickContext& context, double chosenCost, double chosenRisk);
     /// @return time from the first turn to try the server to that of this entry instance
     Duration turn(const Server& server) const;
     /// @return delay of the trials of this entry instance: its turn, and more for servers of other availability zones
@@ -188,7 +219,7 @@
     /// @param riskLimit highest risk at which a trial pays off
     /// @return why this entry instance does not try a suspected server now, or nothing if it may
     std::optional<IdleReason> reasonAgainstTrial(const Server& server, double riskLimit, Time now) const;
-    double freeShare(std::uint32_t service) const;
+    double freeShare(std::uint32_t service, Time now) const;
     void shareSlotsInZone(std::vector<Server*>& servers);
     void shareSlotsInFleet(std::vector<Server*>& servers);
     bool hasReservedSlot(std::uint32_t service) const;
@@ -201,9 +232,12 @@
     /// By service: when a trial was last due but not affordable.
     std::vector<Time> m_trialBudgetEmptyAt;
     std::vector<Candidate> m_candidates;
+    /// The limited servers without a grant that could take the request.
+    std::vector<UngrantedServer> m_withoutGrant;
     std::unique_ptr<Selector> m_selector;
     ZoneName m_zone;
     BeliefTable m_beliefs;
+    QuotaTable m_quotas;
     PeerLoadTable m_peerLoads;
     FleetPosition m_position;
 };
--- a/src/decision/error.cpp
+++ b/src/decision/error.cpp
@@ -26,6 +26,7 @@
         ErrorInfo { ErrorKind::QueueFull, "queue-full", "The service is at capacity.", "Try again after the time in Retry-After.", 503 },
         ErrorInfo { ErrorKind::QueueTimeout, "queue-timeout", "No backend server became free in time.", "Try again after the time in Retry-After.", 503 },
         ErrorInfo { ErrorKind::NoServer, "no-server", "The service has no backend server that accepts work.", "Try again after the time in Retry-After; operators see explain for each backend server.", 503 },
+        ErrorInfo { ErrorKind::ServersLimited, "servers-limited", "The backend servers of the service take no further request in time.", "Try again after the time in Retry-After; operators see the limits of the backend servers in status.", 503 },
         ErrorInfo { ErrorKind::DeadlinePassed, "deadline-passed", "The time limit of the request has passed.", "Allow more time, or resend with the same key to learn the result.", 504 },
         ErrorInfo { ErrorKind::ServerShed, "server-shed", "The backend server refused the request under load.", "Try again after the time in Retry-After.", 503 },
         ErrorInfo { ErrorKind::ServerUnreachable, "server-unreachable", "No connection to a backend server could be made.", "Try again after the time in Retry-After.", 503 },
--- a/src/decision/idle_reason.cpp
+++ b/src/decision/idle_reason.cpp
@@ -7,7 +7,7 @@
 
     // In the order of IdleReason.
     constexpr std::array<const char*, IDLE_REASONS> REASON_NAMES {
-        "not-serving", "shedding", "on-hold", "not-its-turn", "probably-unhealthy", "no-trial-budget", "no-request"
+        "not-serving", "shedding", "limited", "on-hold", "not-its-turn", "probably-unhealthy", "no-trial-budget", "no-request"
     };
 
 } // namespace
--- /dev/null
+++ b/src/decision/quota_exchange.cpp
@@ -0,0 +1,294 @@
+#include "quota_exchange.h"
+
+#include "peer.pb.h"
+
+#include <algorithm>
+#include <cstdio>
+
+namespace cornelwind {
+namespace {
+
+    constexpr std::size_t MAX_PEERS = 32;
+    constexpr Duration REPLY_TIMEOUT = std::chrono::milliseconds(150);
+    constexpr Duration SILENT_TIME = std::chrono::seconds(2);
+    // Time for a grant that is due at once to arrive.
+    constexpr Duration MIN_ASK_LIFETIME = std::chrono::milliseconds(100);
+    // An earlier coordinator may be at work for this time.
+    constexpr Duration TAKEOVER_TIME = std::chrono::seconds(3);
+    constexpr double TAKEOVER_RATE = 0.5;
+    constexpr Duration OBSERVATION_INTERVAL = std::chrono::milliseconds(100);
+    constexpr std::uint64_t FINGERPRINT_FACTOR = 0x100000001b3;
+    // Upper limit of the ages that peers state: 1 h.
+    constexpr std::uint64_t MAX_AGE_US = 3'600'000'000;
+
+    std::uint64_t hashOf(ServerId server, const InstanceName& instance)
+    {
+        std::uint64_t bits = server.value() ^ serverIdOf(ServerName { instance.value() }).value();
+        bits = (bits ^ (bits >> 30)) * 0xbf58476d1ce4e5b9;
+        bits = (bits ^ (bits >> 27)) * 0x94d049bb133111eb;
+        return bits ^ (bits >> 31);
+    }
+
+    peer::Envelope& messageTo(const InstanceName& member, std::map<InstanceName, std::shared_ptr<peer::Envelope>>& outbox)
+    {
+        std::shared_ptr<peer::Envelope>& message = outbox[member];
+        if (!message)
+            message = std::make_shared<peer::Envelope>();
+        return *message;
+    }
+
+    std::string describeLimit(const Limit& limit)
+    {
+        char text[64];
+        std::snprintf(text, sizeof text, "%.2f requests a second", limit.perSecond);
+        return text;
+    }
+
+} // namespace
+
+QuotaExchange::QuotaExchange(Dependencies dependencies)
+    : m_dependencies(dependencies)
+{
+}
+
+void QuotaExchange::onTick(Context& context)
+{
+    quotas().expire(context.now());
+    observeMembers(context.now());
+    passOverSilentMembers(context);
+    returnUnused(context);
+    sendAsks(context);
+    handOut(context);
+}
+
+void QuotaExchange::onResponse(const Server& server, std::optional<double> perSecond, Context& context)
+{
+    const LimitChange change = quotas().state(server.id, perSecond, context.now(), "a response", context.now());
+    if (change == LimitChange::None)
+        return;
+    reportChange(change, server.id, context);
+    peer::Envelope message;
+    writeRow(server.id, *message.mutable_limit_news()->add_rows(), context.now());
+    m_dependencies.gossip.sendToSubset(message, MAX_PEERS, context);
+}
+
+void QuotaExchange::onLimitNews(const peer::LimitNews& news, const MemberRecord& sender, Context& context)
+{
+    for (const peer::LimitRow& row : news.rows())
+        mergeRow(row, "instance " + sender.name.value(), context);
+}
+
+void QuotaExchange::sendAsks(Context& context)
+{
+    const Time now = context.now();
+    std::erase_if(m_asks, [now](const auto& row) { return row.second.until <= now; });
+    Outbox outbox;
+    for (const auto& [server, patience] : quotas().wanted(now)) {
+        if (m_asks.contains(server) || quotas().expectedOpening(server, now) > now + patience)
+            continue;
+        const InstanceName coordinator = coordinatorOf(server, now);
+        m_asks[server] = { coordinator, now + std::max(patience, MIN_ASK_LIFETIME) };
+        if (coordinator == m_dependencies.members.self()) {
+            expectGrant(server, m_coordinator.ask(server, coordinator, patience, grantRate(server, now), now), context);
+            continue;
+        }
+        peer::GrantAsk& row = *messageTo(coordinator, outbox).mutable_grant_request()->add_rows();
+        writeRow(server, *row.mutable_limit(), now);
+        row.set_patience_ms(static_cast<std::uint32_t>(std::chrono::duration_cast<Millis>(patience).count()));
+        m_awaitedSince.emplace(coordinator, now);
+    }
+    send(outbox, context);
+}
+
+void QuotaExchange::returnUnused(Context& context)
+{
+    Outbox outbox;
+    for (const auto& [server, coordinator] : quotas().takeUnused(context.now())) {
+        if (coordinator == m_dependencies.members.self())
+            m_coordinator.giveBack(server, grantRate(server, context.now()), context.now());
+        else
+            messageTo(coordinator, outbox).mutable_grant_return()->add_servers(server.value());
+    }
+    send(outbox, context);
+}
+
+void QuotaExchange::onGrantReturn(const peer::GrantReturn& unused, Context& context)
+{
+    for (const std::uint64_t server : unused.servers())
+        m_coordinator.giveBack(ServerId { server }, grantRate(ServerId { server }, context.now()), context.now());
+    handOut(context);
+}
+
+void QuotaExchange::send(Outbox& outbox, Context& context)
+{
+    for (auto& [name, message] : outbox) {
+        if (const MemberRecord* member = m_dependencies.members.find(name))
+            m_dependencies.gossip.send(*member, std::move(message), context);
+    }
+}
+
+// What was asked of a silent member is asked of the next one.
+void QuotaExchange::passOverSilentMembers(Context& context)
+{
+    std::erase_if(m_silentUntil, [&](const auto& row) { return row.second <= context.now(); });
+    std::erase_if(m_awaitedSince, [&](const auto& row) {
+        if (context.now() - row.second < REPLY_TIMEOUT)
+            return false;
+        m_silentUntil[row.first] = context.now() + SILENT_TIME;
+        std::erase_if(m_asks, [&](const auto& ask) { return ask.second.coordinator == row.first; });
+        return true;
+    });
+}
+
+void QuotaExchange::handOut(Context& context)
+{
+    if (m_coordinator.empty())
+        return;
+    Outbox outbox;
+    const auto rate = [&](ServerId server) { return grantRate(server, context.now()); };
+    for (const QuotaCoordinator::Grant& grant : m_coordinator.takeDue(rate, context.now())) {
+        if (grant.instance == m_dependencies.members.self()) {
+            receiveGrant(grant.server, grant.instance, context);
+            continue;
+        }
+        peer::GrantRow& row = *messageTo(grant.instance, outbox).mutable_grant_reply()->add_rows();
+        writeRow(grant.server, *row.mutable_limit(), context.now());
+        row.set_granted(true);
+    }
+    send(outbox, context);
+}
+
+void QuotaExchange::onGrantRequest(const peer::GrantRequest& request, const MemberRecord& sender, Context& context)
+{
+    auto message = std::make_shared<peer::Envelope>();
+    for (const peer::GrantAsk& row : request.rows()) {
+        const ServerId server { row.limit().server() };
+        mergeRow(row.limit(), "instance " + sender.name.value(), context);
+        const double rate = grantRate(server, context.now());
+        const Duration wait = rate > 0 ? m_coordinator.ask(server, sender.name, Millis { row.patience_ms() }, rate, context.now()) : Duration {};
+        if (rate > 0 && wait <= Duration {})
+            continue;
+        peer::GrantRow& reply = *message->mutable_grant_reply()->add_rows();
+        writeRow(server, *reply.mutable_limit(), context.now());
+        reply.set_wait_ms(static_cast<std::uint32_t>(std::chrono::ceil<Millis>(wait).count()));
+    }
+    if (message->has_grant_reply())
+        m_dependencies.gossip.send(sender, std::move(message), context);
+    handOut(context);
+}
+
+void QuotaExchange::onGrantReply(const peer::GrantReply& reply, const MemberRecord& sender, Context& context)
+{
+    m_awaitedSince.erase(sender.name);
+    for (const peer::GrantRow& row : reply.rows()) {
+        const ServerId server { row.limit().server() };
+        mergeRow(row.limit(), "instance " + sender.name.value(), context);
+        if (row.granted())
+            receiveGrant(server, sender.name, context);
+        else
+            expectGrant(server, Millis { row.wait_ms() }, context);
+    }
+}
+
+// A grant for which nobody waits any more has been on its way for too long.
+void QuotaExchange::receiveGrant(ServerId server, const InstanceName& coordinator, Context& context)
+{
+    if (m_asks.erase(server))
+        quotas().addGrant(server, coordinator, context.now());
+}
+
+// A request that does not wait for its turn may ask again when that is near.
+void QuotaExchange::expectGrant(ServerId server, Duration wait, Context& context)
+{
+    quotas().expectGrant(server, context.now() + wait);
+    const auto ask = m_asks.find(server);
+    if (ask != m_asks.end() && context.now() + wait > ask->second.until)
+        m_asks.erase(ask);
+}
+
+InstanceName QuotaExchange::coordinatorOf(ServerId server, Time now) const
+{
+    InstanceName best;
+    std::uint64_t highest = 0;
+    const auto consider = [&](const InstanceName& name) {
+        const std::uint64_t hash = hashOf(server, name);
+        if (!best.value().empty() && hash <= highest)
+            return;
+        highest = hash;
+        best = name;
+    };
+    for (const MemberRecord* member : m_dependencies.members.live()) {
+        const auto silent = m_silentUntil.find(member->name);
+        if (silent == m_silentUntil.end() || silent->second <= now)
+            consider(member->name);
+    }
+    if (!m_dependencies.gossip.leaving() || best.value().empty())
+        consider(m_dependencies.members.self());
+    return best;
+}
+
+double QuotaExchange::grantRate(ServerId server, Time now) const
+{
+    const Limit* limit = quotas().find(server);
+    if (!limit || limit->perSecond <= 0)
+        return 0;
+    const Time since = std::min(m_coordinator.coordinatedSince(server).value_or(now), m_membersChangedAt);
+    const bool settled = now - since >= TAKEOVER_TIME && coordinatorOf(server, now) == m_dependencies.members.self();
+    return limit->perSecond * reachableShare() * (settled ? 1 : TAKEOVER_RATE);
+}
+
+void QuotaExchange::observeMembers(Time now)
+{
+    if (now < m_nextObservation)
+        return;
+    m_nextObservation = now + OBSERVATION_INTERVAL;
+    std::uint64_t fingerprint = 1;
+    for (const MemberRecord* member : m_dependencies.members.live())
+        fingerprint = fingerprint * FINGERPRINT_FACTOR + member->incarnation.value();
+    if (fingerprint != m_membersFingerprint)
+        m_membersChangedAt = now;
+    m_membersFingerprint = fingerprint;
+}
+
+double QuotaExchange::reachableShare() const
+{
+    const auto& records = m_dependencies.members.records();
+    const auto dead = std::count_if(records.begin(), records.end(), [](const auto& row) { return row.second.state == MemberState::Dead; });
+    const auto reachable = static_cast<double>(1 + m_dependencies.members.liveCount());
+    return reachable / (reachable + static_cast<double>(dead));
+}
+
+void QuotaExchange::mergeRow(const peer::LimitRow& row, const std::string& source, Context& context)
+{
+    const ServerId id { row.server() };
+    const Server* server = m_dependencies.pool.find(id);
+    if (!server || server->config.incarnation != row.incarnation())
+        return;
+    const Time statedAt = context.now() - Duration { std::min(row.stated_ago_us(), MAX_AGE_US) };
+    const bool limited = row.per_second() > 0;
+    reportChange(quotas().state(id, limited ? std::optional(row.per_second()) : std::nullopt, statedAt, source, context.now()), id, context);
+}
+
+void QuotaExchange::writeRow(ServerId id, peer::LimitRow& row, Time now) const
+{
+    row.set_server(id.value());
+    if (const Server* server = m_dependencies.pool.find(id))
+        row.set_incarnation(server->config.incarnation);
+    const Limit* limit = quotas().find(id);
+    row.set_stated_ago_us(limit ? static_cast<std::uint64_t>((now - limit->statedAt).count()) : MAX_AGE_US);
+    row.set_per_second(limit ? limit->perSecond : 0);
+}
+
+void QuotaExchange::reportChange(LimitChange change, ServerId id, Context& context) const
+{
+    const Server* server = m_dependencies.pool.find(id);
+    const Limit* limit = quotas().find(id);
+    if (change == LimitChange::None || !server || !limit)
+        return;
+    if (change == LimitChange::Ended)
+        context.report(DecisionKind::ServerUnlimited, server->config.name.value(), "no limit any more according to " + limit->source);
+    else
+        context.report(DecisionKind::ServerLimited, server->config.name.value(), "limit named according to " + limit->source, describeLimit(*limit));
+}
+
+} // namespace cornelwind
--- a/src/decision/request_flow.cpp
+++ b/src/decision/request_flow.cpp
@@ -318,6 +318,12 @@
     }
 }
 
+void RequestFlow::dispatchQueues(Context& context)
+{
+    for (auto& [name, service] : m_services)
+        dispatchQueue(*service, context);
+}
+
 RequestFlow::Request* RequestFlow::find(RequestId id)
 {
     const auto found = m_requests.find(id);
--- a/src/decision/request_flow.h
+++ b/src/decision/request_flow.h
@@ -81,6 +81,8 @@
     void onOwnerReplied(const OwnerReplied& event, Context& context);
     /// Runs expired timers and sends queued requests.
     void onTick(Context& context);
+    /// Sends queued requests, after servers have opened.
+    void dispatchQueues(Context& context);
 
     /// @return whether no request is in progress
     bool idle() const { return m_requests.empty(); }
@@ -240,6 +242,8 @@
     void admit(Request& request, Context& context);
     /// @return a refusal if the request can no longer be sent to any server
     std::optional<Refusal> refusalBeforeSend(const Request& request, Context& context) const;
+    /// @return a refusal if no server opens before the request would be too late
+    std::optional<Refusal> refusalOfWait(const Request& request, Context& context) const;
     /// Chooses a server and sends the request to it.
     ///
     /// @return false if no server may take the request now
--- a/src/decision/request_flow_placement.cpp
+++ b/src/decision/request_flow_placement.cpp
@@ -35,6 +35,8 @@
     const auto next = service.queue.front();
     if (!next && trySend(request, context))
         return;
+    if (const auto refusal = refusalOfWait(request, context))
+        return completeRequest(request, { refusal->outcome, refusal->error, nullptr }, refusal->retryAfter, context);
     if (placedByCost(request) && context.now() + expectedWait(service, context.now()) > queueDeadline(request, context.now()))
         return completeRequest(request, { Outcome::NotRun, ErrorKind::QueueFull, nullptr }, retryAfterOf(request, RefusalCause::Full, context), context);
     const Time expires = queueDeadline(request, context.now());
@@ -65,6 +67,17 @@
     return std::nullopt;
 }
 
+// Where no server opens in time, waiting is of no use to the caller.
+std::optional<RequestFlow::Refusal> RequestFlow::refusalOfWait(const Request& request, Context& context) const
+{
+    if (!request.service->index || request.tryCount)
+        return std::nullopt;
+    const Time opening = m_dependencies.pool.earliestOpening(*request.service->index, context.now());
+    if (opening <= queueDeadline(request, request.admittedAt))
+        return std::nullopt;
+    return Refusal { ErrorKind::ServersLimited, Outcome::NotRun, retryAfterOpening(opening - context.now(), context.random()) };
+}
+
 bool RequestFlow::trySend(Request& request, Context& context)
 {
     if (!maySend(request, context.now()) || !request.service->index || request.activeCount == MAX_ACTIVE || request.triedServerCount == MAX_TRIED)
@@ -72,6 +85,9 @@
     PickContext pick;
     pick.now = context.now();
     pick.random = context.random();
+    pick.waited = context.now() - request.admittedAt;
+    pick.patience = queueDeadline(request, request.admittedAt) - context.now();
+    pick.waiting = request.service->queue.size() + 1;
     pick.excluded = { request.tried.data(), request.triedServerCount };
     const bool byCost = placedByCost(request);
     pick.trialAllowed = mayRunTrial(request);
--- a/src/decision/request_flow_sends.cpp
+++ b/src/decision/request_flow_sends.cpp
@@ -85,9 +85,13 @@
             completeRequest(*request, { refusal->outcome, refusal->error, nullptr }, refusal->retryAfter, context);
             continue;
         }
-        if (!trySend(*request, context))
+        const bool sent = trySend(*request, context);
+        const auto refusal = sent ? std::nullopt : refusalOfWait(*request, context);
+        if (!sent && !refusal)
             return;
         service.queue.popFront();
+        if (refusal)
+            completeRequest(*request, { refusal->outcome, refusal->error, nullptr }, refusal->retryAfter, context);
     }
 }
 
--- a/src/decision/retry_after.cpp
+++ b/src/decision/retry_after.cpp
@@ -9,6 +9,7 @@
     constexpr Duration DEFAULT_TYPICAL_TIME = std::chrono::milliseconds(200);
     constexpr Duration MIN_DELAY = std::chrono::milliseconds(20);
     constexpr Duration MAX_DELAY = std::chrono::seconds(2);
+    constexpr Duration MAX_OPENING_DELAY = std::chrono::seconds(60);
     // A new server list arrives within a second.
     constexpr Duration NO_SERVER_DELAY = std::chrono::milliseconds(500);
     // The delay is at most the remaining time divided by this.
@@ -34,6 +35,12 @@
 
 } // namespace
 
+Millis retryAfterOpening(Duration untilOpening, std::uint64_t random)
+{
+    const Duration jitter = untilOpening / 2 * static_cast<std::int64_t>(random % JITTER_STEPS) / static_cast<std::int64_t>(JITTER_STEPS);
+    return std::chrono::ceil<Millis>(std::clamp(untilOpening + jitter, MIN_DELAY, MAX_OPENING_DELAY));
+}
+
 Millis retryAfter(const RetryAfterInput& input, std::uint64_t random)
 {
     const Duration base = baseDelay(input);
--- a/src/decision/server_notices.cpp
+++ b/src/decision/server_notices.cpp
@@ -23,6 +23,10 @@
         reportUnreadable(*server, notice, context);
     if (notice.leaving)
         m_dependencies.onLeaving(id, context);
+    if (notice.limit.kind == StatedLimit::Kind::PerSecond)
+        m_dependencies.quotas.onResponse(*server, notice.limit.perSecond, context);
+    else if (notice.limit.kind == StatedLimit::Kind::None)
+        m_dependencies.quotas.onResponse(*server, std::nullopt, context);
 }
 
 void ServerNotices::reportUnreadable(const Server& server, const ServerNotice& notice, Context& context)
--- a/src/decision/server_notices.h
+++ b/src/decision/server_notices.h
@@ -3,6 +3,7 @@
 #include "context.h"
 #include "cornelwind/server_notice.h"
 #include "cornelwind/server_pool.h"
+#include "quota_exchange.h"
 
 #include <functional>
 #include <unordered_map>
@@ -16,6 +17,7 @@
 public:
     struct Dependencies {
         ServerPool& pool;
+        QuotaExchange& quotas;
         /// Called when a server says that it is shutting down.
         std::function<void(ServerId, Context&)> onLeaving;
     };
--- a/src/decision/server_pool_trials.cpp
+++ b/src/decision/server_pool_trials.cpp
@@ -49,7 +49,7 @@
 {
     if (Server* overdue = pickOverdue(service, context))
         return overdue;
-    const double riskLimit = trialRiskLimit(hasOther ? freeShare(service) : 0, context.trialCost);
+    const double riskLimit = trialRiskLimit(hasOther ? freeShare(service, context.now) : 0, context.trialCost);
     Server* best = nullptr;
     double lowestRisk = riskLimit;
     for (Server* server : m_services[service]) {
@@ -58,6 +58,10 @@
         const double risk = m_beliefs.unhealthyProbability(server->id, context.now - trialDelay(*server));
         if (risk > lowestRisk)
             continue;
+        if (!m_quotas.maySend(server->id, context.now)) {
+            m_quotas.want(server->id, hasOther ? Duration {} : context.patience, context.now);
+            continue;
+        }
         lowestRisk = risk;
         best = server;
     }
@@ -79,6 +83,10 @@
         const Duration overdue = context.now - trialDeadline(*server, context.manyRequestsLost);
         if (overdue <= longestOverdue)
             continue;
+        if (!m_quotas.maySend(server->id, context.now)) {
+            m_quotas.want(server->id, Duration {}, context.now);
+            continue;
+        }
         longestOverdue = overdue;
         longest = server;
     }
@@ -115,22 +123,24 @@
         return IdleReason::NotServing;
     if (server.busyUntil > now)
         return IdleReason::Shedding;
+    if (!m_quotas.maySend(server.id, now))
+        return IdleReason::Limited;
     if (!m_beliefs.suspected(server.id))
         return IdleReason::NoRequest;
-    if (const auto reason = reasonAgainstTrial(server, trialRiskLimit(freeShare(service), orderTrialCost), now))
+    if (const auto reason = reasonAgainstTrial(server, trialRiskLimit(freeShare(service, now), orderTrialCost), now))
         return *reason;
     return now - m_trialBudgetEmptyAt[service] < budgetReportTime ? IdleReason::NoTrialBudget : IdleReason::NoRequest;
 }
 
-// Share of the slots of a service that are free on serving servers that are not suspected.
-double ServerPool::freeShare(std::uint32_t service) const
+// Share of the slots of a service that are free on serving servers that are not suspected and may be sent to.
+double ServerPool::freeShare(std::uint32_t service, Time now) const
 {
     std::uint32_t slots = 0;
     std::uint32_t freeSlots = 0;
     for (const Server* server : m_services[service]) {
         const std::uint32_t serverSlots = server->config.slots.value();
         slots += serverSlots;
-        if (server->state != ServerState::Serving || m_beliefs.suspected(server->id))
+        if (server->state != ServerState::Serving || m_beliefs.suspected(server->id) || !m_quotas.maySend(server->id, now))
             continue;
         freeSlots += serverSlots - std::min(serverSlots, server->inFlight + m_peerLoads.peerInFlight(server->id));
     }
--- a/src/shell/admin_handler.cpp
+++ b/src/shell/admin_handler.cpp
@@ -38,6 +38,10 @@
             { "threshold", server.threshold },
             { "bad_share", server.badShare },
             { "expected_share", server.expectedShare },
+            { "limit", server.limit },
+            { "limit_age_ms", toMillis(server.limitAge) },
+            { "limit_source", server.limitSource },
+            { "backoff_ms", toMillis(server.backoff) },
             { "idle", server.idle ? toString(*server.idle) : "" },
         };
     }
--- a/src/shell/metrics.cpp
+++ b/src/shell/metrics.cpp
@@ -79,6 +79,27 @@
         }
     }
 
+    void addNotices(MetricFamilies& families, const Status& status)
+    {
+        MetricFamily& limits = families.family("cornelwind_server_limit", "Requests a second that a backend server takes from all entry instances together.", MetricType::Gauge);
+        MetricFamily& ages = families.family("cornelwind_server_limit_age_seconds", "Time since this instance learned of the limit of a backend server, in seconds.", MetricType::Gauge);
+        MetricFamily& backoffs = families.family("cornelwind_server_backoff_seconds", "Time for which a backend server wants no requests from this instance, in seconds.", MetricType::Gauge);
+        const auto add = [](MetricFamily& family, const ServerStatus& server, double value) {
+            ClientMetric metric;
+            metric.label = { { "server", server.name.value() }, { "service", server.service.value() } };
+            metric.gauge.value = value;
+            family.metric.push_back(metric);
+        };
+        for (const ServerStatus& server : status.servers) {
+            if (server.limit > 0) {
+                add(limits, server, server.limit);
+                add(ages, server, seconds(server.limitAge));
+            }
+            if (server.backoff > Duration {})
+                add(backoffs, server, seconds(server.backoff));
+        }
+    }
+
     void addStatus(MetricFamilies& families, const Status& status)
     {
         families.gauge("cornelwind_ready", "1 if ready to serve callers, else 0.", status.ready);
@@ -99,6 +120,7 @@
             states.metric.push_back(metric);
         }
         addIdleServers(families, status);
+        addNotices(families, status);
         MetricFamily& members = families.family("cornelwind_member_state", "1 for the current state of another entry instance.", MetricType::Gauge);
         for (const MemberStatus& member : status.members) {
             ClientMetric metric;
--- a/tests/server_limit_test.cpp
+++ b/tests/server_limit_test.cpp
@@ -79,6 +79,8 @@
     const SimulatedDay days[] = {
         makeDay("two a second", { { ServersLimited, 3, 24, 0.7, 2 } }),
         makeDay("one in two seconds", { { ServersLimited, 3, 24, 0.7, 0.5 } }),
+        makeDay("zero", { { ServersLimited, 3, 24, 0.5, 0 } }),
+        makeDay("zero at all servers", { { ServersLimited, 3, 24, 1, 0 } }),
         makeDay("all servers", { { ServersLimited, 3, 24, 1, 2 } }),
         makeDay("more than it gets", { { ServersLimited, 3, 24, 1, 40 } }),
         makeDay("another limit later", { { ServersLimited, 2, 9, 1, 4 }, { ServersLimited, 9, 16, 1, 1 }, { ServersLimited, 16, 24, 1, 3 } }),
@@ -146,3 +148,19 @@
         CHECK(limitedShare >= freeShare - 0.02);
     }
 }
+
+TEST_CASE("A service whose servers all named a limit of zero serves again soon after the limits end")
+{
+    using enum TroubleKind;
+    // Each server is asked once in two seconds even while its limit is zero.
+    constexpr double soon = 3;
+    for (std::uint64_t seed = 1; seed <= seedCount(); ++seed) {
+        SimulatedFleet fleet(makeDay("zero until the twelfth second", { { ServersLimited, 2, 12, 1, 0 } }), seed);
+        fleet.run();
+        for (const WindowReport& window : fleet.windows()) {
+            CAPTURE(seed, window.from, window.requests, window.unserved);
+            if (window.from >= 12 + soon)
+                CHECK(static_cast<double>(window.unserved) <= 0.1 * static_cast<double>(window.requests));
+        }
+    }
+}
