Obey the time for which a backend server wants no requests, and forget what an earlier start said

A server that turns a request away with 503 and Retry-After gets nothing from this entry instance for so long: no request, retry, trial or probe; a limited server is not probed either. If all servers of a service ask for that, callers are refused at once with the true time.

A server that had said it leaves stayed out of use after it had started again under its name, for up to a minute, and a notice on its way from a peer could take the new start out of use as well: the notices name the start (born) now, and a new one begins with a clean record.

--- a/include/cornelwind/idle_reason.h
+++ b/include/cornelwind/idle_reason.h
@@ -9,7 +9,7 @@
 enum class IdleReason : std::uint8_t {
     /// Ejected, on trial after an ejection, leaving, or avoided by this entry instance.
     NotServing,
-    /// It shed a request a moment ago.
+    /// It shed a request a moment ago, or asked for a time without requests.
     Shedding,
     /// It limits its rate, and this entry instance has no grant for it.
     Limited,
--- a/src/decision/ejector.cpp
+++ b/src/decision/ejector.cpp
@@ -292,7 +292,7 @@
     server->state = ServerState::Leaving;
     server->stateEndsAt = context.now() + LEAVE_EXPIRY;
     if (direct)
-        m_leavingNotices[id] = context.now();
+        m_leavingNotices[id] = { server->config.incarnation, context.now() };
 }
 
 std::vector<PeerEjection> Ejector::ejections(const Sheet& sheet, Time now) const
@@ -309,12 +309,12 @@
     return ejections;
 }
 
-std::vector<ServerId> Ejector::leavingToAnnounce(Time now)
+std::vector<LeavingServer> Ejector::leavingToAnnounce(Time now)
 {
-    std::erase_if(m_leavingNotices, [now](const auto& row) { return now - row.second > LEAVE_ANNOUNCE_TIME; });
-    std::vector<ServerId> servers;
-    for (const auto& [server, at] : m_leavingNotices)
-        servers.push_back(server);
+    std::erase_if(m_leavingNotices, [now](const auto& row) { return now - row.second.at > LEAVE_ANNOUNCE_TIME; });
+    std::vector<LeavingServer> servers;
+    for (const auto& [server, notice] : m_leavingNotices)
+        servers.push_back({ server, notice.incarnation });
     return servers;
 }
 
--- a/src/decision/ejector.h
+++ b/src/decision/ejector.h
@@ -33,6 +33,12 @@
     std::uint32_t ejectionCount = 0;
 };
 
+/// A start of a backend server that is leaving.
+struct LeavingServer {
+    ServerId server;
+    std::uint64_t incarnation = 0;
+};
+
 /// Ejects unhealthy backend servers and returns them to service (outlier ejection).
 ///
 /// Bound: a server is ejected only if the ejected slots of its service then stay
@@ -60,8 +66,8 @@
 
     /// @return servers that this entry instance has ejected or on trial
     std::vector<PeerEjection> ejections(const Sheet& sheet, Time now) const;
-    /// @return servers for which a direct notice that they are leaving arrived within the last 5 s
-    std::vector<ServerId> leavingToAnnounce(Time now);
+    /// @return the notices that servers are leaving that arrived directly within the last 5 s
+    std::vector<LeavingServer> leavingToAnnounce(Time now);
 
     /// @param slots number of slots of all servers of the service that are not leaving
     /// @param floor number of slots that have to stay in service
@@ -115,8 +121,13 @@
     Detector& m_detector;
     std::map<std::uint64_t, PeerEjections> m_peerEjections;
     std::unordered_map<ServerId, EjectionCount> m_ejectionCounts;
-    /// When the latest direct notice that a server is leaving arrived.
-    std::unordered_map<ServerId, Time> m_leavingNotices;
+    struct LeavingNotice {
+        std::uint64_t incarnation = 0;
+        Time at;
+    };
+
+    /// The latest direct notice of each server that it is leaving.
+    std::unordered_map<ServerId, LeavingNotice> m_leavingNotices;
     /// When a withheld ejection of a server may be reported again.
     std::unordered_map<ServerId, Time> m_withheldUntil;
 };
--- a/src/decision/health.cpp
+++ b/src/decision/health.cpp
@@ -138,8 +138,10 @@
     for (const Fingerprint fingerprint : m_crashesToAnnounce)
         evidence.add_crashes()->set_fingerprint(fingerprint.value());
     m_crashesToAnnounce.clear();
-    for (const ServerId server : m_ejector.leavingToAnnounce(context.now()))
-        evidence.add_leaving(server.value());
+    for (const LeavingServer& leaving : m_ejector.leavingToAnnounce(context.now())) {
+        evidence.add_leaving(leaving.server.value());
+        evidence.add_leaving_incarnations(leaving.incarnation);
+    }
     return message;
 }
 
@@ -156,8 +158,13 @@
     m_ejector.onPeerEjections(source, std::move(ejections), context.now());
     for (const peer::CrashRow& row : evidence.crashes())
         recordCrash(Fingerprint { row.fingerprint() }, context);
-    for (const std::uint64_t server : evidence.leaving())
-        m_ejector.onLeaving(ServerId { server }, false, context);
+    for (int i = 0; i < evidence.leaving_size(); ++i) {
+        const Server* server = m_dependencies.pool.find(ServerId { evidence.leaving(i) });
+        // A server that has started again since is not leaving.
+        const bool isSameStart = i >= evidence.leaving_incarnations_size() || (server && evidence.leaving_incarnations(i) == server->config.incarnation);
+        if (server && isSameStart)
+            m_ejector.onLeaving(server->id, false, context);
+    }
 }
 
 void Health::onCrash(Fingerprint fingerprint, Context& context)
@@ -195,7 +202,9 @@
         for (const Server* server : m_dependencies.pool.servers(i)) {
             const bool isOwnTurn = position++ % view.live == view.rank;
             const bool hasLowTraffic = m_detector.assess(server->id).recentSamples < MIN_TRAFFIC_SAMPLES;
-            if (isOwnTurn && hasLowTraffic && !config.healthPath.empty())
+            // A probe is a request too.
+            const bool wantsNone = server->backoffUntil > context.now() || m_dependencies.pool.quotas().isLimited(server->id);
+            if (isOwnTurn && hasLowTraffic && !wantsNone && !config.healthPath.empty())
                 context.emit(SendProbe { server->id, server->config.address, config.healthPath, config.drainHeader, PROBE_TIME_LIMIT });
         }
     }
--- a/src/decision/server_notices.h
+++ b/src/decision/server_notices.h
@@ -28,6 +28,8 @@
     void onNotice(ServerId server, std::uint64_t incarnation, const ServerNotice& notice, Context& context);
 
 private:
+    /// Sends the server nothing for the time that it asks for, within `MAX_BACKOFF`.
+    static void startBackoff(Server& server, Duration backoff, Context& context);
     /// Reports values that cannot be read, at most once in `REPORT_INTERVAL` for each server.
     void reportUnreadable(const Server& server, const ServerNotice& notice, Context& context);
 
--- a/src/decision/server_pool.cpp
+++ b/src/decision/server_pool.cpp
@@ -56,6 +56,9 @@
                 m_beliefs.forget(id);
                 m_quotas.forget(id);
                 server.knownSince = now;
+                server.backoffUntil = {};
+                if (server.state == ServerState::Leaving)
+                    server.state = ServerState::Serving;
             }
             server.id = id;
             server.config = config;
@@ -237,7 +240,7 @@
     for (const Server* server : m_services[service]) {
         if ((server->state != ServerState::Serving && server->state != ServerState::Trial) || server->avoided)
             continue;
-        const Time opening = m_quotas.expectedOpening(server->id, now);
+        const Time opening = std::max(m_quotas.expectedOpening(server->id, now), server->backoffUntil);
         earliest = std::min(earliest.value_or(opening), opening);
     }
     return earliest.value_or(now);
@@ -286,7 +289,7 @@
 bool ServerPool::accepts(const Server& server, const PickContext& context) const
 {
     const bool stateAllows = server.state == ServerState::Serving || (server.state == ServerState::Trial && context.trialAllowed);
-    if (!stateAllows || server.avoided || server.busyUntil > context.now)
+    if (!stateAllows || server.avoided || server.busyUntil > context.now || server.backoffUntil > context.now)
         return false;
     if (server.inFlight >= limit(server, context.now))
         return false;
--- a/src/decision/server_pool_trials.cpp
+++ b/src/decision/server_pool_trials.cpp
@@ -121,7 +121,7 @@
     constexpr double orderTrialCost = 1;
     if (server.state != ServerState::Serving || server.avoided)
         return IdleReason::NotServing;
-    if (server.busyUntil > now)
+    if (server.busyUntil > now || server.backoffUntil > now)
         return IdleReason::Shedding;
     if (!m_quotas.maySend(server.id, now))
         return IdleReason::Limited;
