--- a/tests/standin/platform.cpp
+++ b/tests/standin/platform.cpp
@@ -40,6 +40,8 @@
             if (request.method() == "PUT")
                 return handlePut(path, request.body);
             ++m_calls;
+            if (path == "/api/kv-watch")
+                return handleWatch(request, lock);
             return handleGet(path, request, lock);
         }
 
@@ -59,6 +61,19 @@
             return makeResponse(200, "");
         }
 
+        // Returns the events that are stored under the path once they change, or none when the time is over.
+        std::string handleWatch(const Message& request, std::unique_lock<std::mutex>& lock)
+        {
+            const std::string path = "/api/kv-watch";
+            const std::size_t wait = request.target().find("waitMs=");
+            const int waitMs = wait == std::string::npos ? 0 : std::atoi(request.target().c_str() + wait + 7);
+            const std::uint64_t known = m_values[path].revision;
+            const bool changed = m_changed.wait_for(lock, std::chrono::milliseconds(waitMs), [&] { return m_mode == "down" || m_values[path].revision != known; });
+            if (m_mode == "down")
+                return {};
+            return makeResponse(200, changed ? m_values[path].text : R"({"asOf":1,"events":[]})");
+        }
+
         // Returns the response, or an empty text if the connection has to be closed without one.
         std::string handleGet(const std::string& path, const Message& request, std::unique_lock<std::mutex>& lock)
         {
--- a/tests/standin/server.cpp
+++ b/tests/standin/server.cpp
@@ -101,10 +101,18 @@
             headers["X-Server"] = m_name;
             if (!request.header("cornelwind-try").empty())
                 headers["Cornelwind-Try"] = request.header("cornelwind-try");
+            if (!request.header("request-id").empty()) {
+                headers["Request-Id"] = request.header("request-id");
+                headers["Server-Stamp"] = "stamp of " + m_name;
+            }
+            addExtraHeaders(headers);
             if (m_running.fetch_add(1) >= m_slots || chance("shed_percent")) {
                 --m_running;
-                headers["X-Shed"] = "1";
-                return writeAll(socket, makeResponse(503, "shed\n", headers));
+                return refuse(request, socket, headers);
+            }
+            if (!writeEarlierRefusal(request, socket)) {
+                --m_running;
+                return false;
             }
             if (cannotMeetDeadline(request)) {
                 --m_running;
@@ -120,7 +128,8 @@
         void recordDeadline(const Message& request)
         {
             const std::lock_guard lock(m_mutex);
-            m_deadlines += request.target() + " " + request.header("cornelwind-deadline-ms") + "\n";
+            const std::string own = request.header("cornelwind-deadline-ms");
+            m_deadlines += request.target() + " " + (own.empty() ? request.header("deadline-ms") : own) + "\n";
         }
 
         bool cannotMeetDeadline(const Message& request)
@@ -129,6 +138,46 @@
             return !remaining.empty() && std::atoi(remaining.c_str()) < setting("service_ms");
         }
 
+        // Adds the headers that the setting `extra_headers` lists as `NAME: VALUE`, separated by `|`.
+        void addExtraHeaders(std::map<std::string, std::string>& headers)
+        {
+            std::string list = textSetting("extra_headers");
+            while (!list.empty()) {
+                const auto end = std::min(list.find('|'), list.size());
+                const std::string header = list.substr(0, end);
+                const auto colon = header.find(": ");
+                if (colon != std::string::npos)
+                    headers[header.substr(0, colon)] = header.substr(colon + 2);
+                list.erase(0, end + 1);
+            }
+        }
+
+        // Sheds the request and keeps the refusal, which `writeEarlierRefusal` may write once more.
+        bool refuse(const Message& request, const Socket& socket, std::map<std::string, std::string> headers)
+        {
+            headers["X-Shed"] = "1";
+            headers["Not-Executed"] = "1";
+            headers.erase("Server-Stamp");
+            const std::string refusal = makeResponse(503, "shed " + request.target() + "\n", headers);
+            const std::lock_guard lock(m_mutex);
+            m_earlierRefusal = refusal;
+            return writeAll(socket, refusal);
+        }
+
+        // With `repeat_refusal=1` writes the last refusal before the response, with `repeat_refusal=2` without its request id.
+        bool writeEarlierRefusal(const Message&, const Socket& socket)
+        {
+            const int mode = setting("repeat_refusal");
+            const std::lock_guard lock(m_mutex);
+            if (!mode || m_earlierRefusal.empty())
+                return true;
+            std::string refusal = m_earlierRefusal;
+            const auto id = refusal.find("Request-Id: ");
+            if (mode == 2 && id != std::string::npos)
+                refusal.erase(id, refusal.find("\r\n", id) + 2 - id);
+            return writeAll(socket, refusal);
+        }
+
         // Returns the service time in percent of the normal one: `cold_factor` until `cold_ms` after the start, then 100.
         int coldStartPercent()
         {
@@ -161,6 +210,12 @@
             }
             if (chance("close_before_answer_percent"))
                 return false;
+            if (const int bytes = setting("close_in_head_bytes")) {
+                const auto headLength = static_cast<int>(response.find("\r\n\r\n"));
+                // A negative number counts from the end of the head.
+                writeAll(socket, response.substr(0, static_cast<std::size_t>(bytes > 0 ? std::min(bytes, headLength) : headLength + bytes)));
+                return false;
+            }
             return writeAll(socket, response);
         }
 
@@ -198,6 +253,13 @@
             std::fflush(stdout);
         }
 
+        std::string textSetting(const std::string& key)
+        {
+            const std::lock_guard lock(m_mutex);
+            const auto found = m_settings.find(key);
+            return found == m_settings.end() ? std::string() : found->second;
+        }
+
         int setting(const std::string& key, int fallback = 0)
         {
             const std::lock_guard lock(m_mutex);
@@ -223,6 +285,7 @@
         std::set<int> m_connections;
         std::string m_record;
         std::string m_deadlines;
+        std::string m_earlierRefusal;
     };
 
 } // namespace
--- a/tests/standin/standin.h
+++ b/tests/standin/standin.h
@@ -22,19 +22,24 @@
 ///   supports `If-None-Match`, and long polling with the query `wait_ms`.
 /// - `PUT /control` takes `mode=ok`, `mode=down` (closes the connection instead of sending a value) or `mode=stale`
 ///   (keeps serving the values that are present when it is set).
+/// - `GET /api/kv-watch` waits for `waitMs` until a value is written under this path, and returns it, or a list without events.
 /// - `GET /calls` returns the number of `GET` requests for values.
 ///
 /// @param options `listen`
 /// @return 1 if it cannot listen; otherwise it does not return
 int runPlatform(const Options& options);
-/// Runs a stand-in for a backend server. A request takes a slot for the service time, or is shed if no slot is free.
+/// Runs a stand-in for a backend server. A request with `Request-Id` is answered in the manner of the users' platform: with that
+/// header, with `Server-Stamp` if it was run, and with `Not-Executed` if it was shed. A request takes a slot for the service time, or is shed if no slot is free.
 /// A request with `crash` in its target or body shuts down all connections. These paths are exceptions:
 ///
 /// - `PUT /standin/control` sets faults as `key=value` lines. Keys that end in `_percent` give the share of the requests
 ///   that have the fault: `shed_percent`, `fail_percent` (status 500), `stall_percent` (service time of 60 s),
 ///   `truncate_percent`, `mismatch_percent` (wrong `Cornelwind-Try` in the response) and `close_before_answer_percent`.
 ///   `service_ms` is the service time, `slow_factor` a factor on it in percent, and `cold_factor` a further one that applies
-///   until `cold_ms` after the start. `draining=1` adds `X-Draining` to responses. The other keys are `connection_limit`,
+///   until `cold_ms` after the start. `draining=1` adds `X-Draining` to responses, and `extra_headers` others, as `NAME: VALUE`
+///   separated by `|`. `repeat_refusal=1` writes the last refusal once more before each response, 2 without its request id.
+///   `close_in_head_bytes` closes the connection after so many bytes of the head of a response, or before its last ones if
+///   negative. The other keys are `connection_limit`,
 ///   `idle_close_ms`, `health_status`, `health_silent` and `shown_load`.
 /// - `GET /standin/record` returns a line `run METHOD TARGET BODY` for each request that starts to execute, a line
 ///   `cancelled METHOD TARGET BODY` for each whose client closes the connection before its end, and a line `crash` for
