Believe a refusal only with the id of the request that it refuses

What callers saw (reported by other operators, reproduced here): 503 'not run, try again' for orders that ran. Cause: a response without the request's id was taken for the one that was due, also where it was an earlier refusal that a faulty server wrote once more; with an id the client skipped it. Now a refusal proves that a request has not run only if it repeats the id, where servers repeat ids in all responses; any other counts as a broken response, after which the request may have run.

--- a/src/shell/backend_client.cpp
+++ b/src/shell/backend_client.cpp
@@ -44,7 +44,7 @@
     span.attributes = { { "server", effect.name.value() } };
     HttpCall call = makeCall(*request, effect, span);
     PendingTry& pending = m_pendingTries[effect.id];
-    pending = { 0, std::move(span), effect.shedStatus, effect.shedHeader, effect.drainHeader };
+    pending = { 0, std::move(span), effect.shedStatus, effect.shedHeader, effect.drainHeader, call.keepEcho };
     pending.call = m_client.start(std::move(call), [this, id = effect.id](const HttpResult& result) { onResult(id, result); });
 }
 
@@ -97,6 +97,25 @@
     return notice;
 }
 
+void BackendClient::readResponse(const PendingTry& pending, const HttpResult& result, TryFinished& event) const
+{
+    const Response& response = *result.response;
+    event.notice = readNotice(response, pending.drainHeader);
+    event.misdirected = m_conventions.misdirectedStatus && response.status == m_conventions.misdirectedStatus;
+    const bool statusMatches = !pending.shedStatus || response.status == pending.shedStatus;
+    const bool refuses = event.misdirected || (statusMatches && hasHeader(response, pending.shedHeader));
+    const bool incomplete = !m_conventions.completionHeader.empty() && response.status < FIRST_REDIRECT_STATUS && !hasHeader(response, m_conventions.completionHeader);
+    // A refusal promises that the request has not run. Without the request's id it may be that of another request.
+    const bool unattributed = refuses && pending.expectsEcho && !result.echoed;
+    if (unattributed || (incomplete && !refuses)) {
+        event.result = TryResult::Broken;
+        event.response = nullptr;
+        event.misdirected = false;
+        event.notice = {};
+    } else if (refuses)
+        event.result = TryResult::Shed;
+}
+
 void BackendClient::onResult(TryId id, const HttpResult& result)
 {
     const auto found = m_pendingTries.find(id);
@@ -105,18 +124,8 @@
     PendingTry pending = std::move(found->second);
     m_pendingTries.erase(found);
     TryFinished event { id, result.result, result.response };
-    if (result.response) {
-        event.notice = readNotice(*result.response, pending.drainHeader);
-        event.misdirected = m_conventions.misdirectedStatus && result.response->status == m_conventions.misdirectedStatus;
-        const bool incomplete = !m_conventions.completionHeader.empty() && result.response->status < FIRST_REDIRECT_STATUS && !hasHeader(*result.response, m_conventions.completionHeader);
-        if (incomplete) {
-            event.result = TryResult::Broken;
-            event.response = nullptr;
-        }
-        const bool statusMatches = !pending.shedStatus || result.response->status == pending.shedStatus;
-        if (event.misdirected || (statusMatches && hasHeader(*result.response, pending.shedHeader)))
-            event.result = TryResult::Shed;
-    }
+    if (result.response)
+        readResponse(pending, result, event);
     pending.span.failed = event.result != TryResult::Answered;
     pending.span.attributes.push_back({ "result", toString(event.result) });
     m_tracer.end(std::move(pending.span));
--- a/src/shell/backend_client.h
+++ b/src/shell/backend_client.h
@@ -34,12 +34,16 @@
         std::uint16_t shedStatus = 0;
         std::string shedHeader;
         std::string drainHeader;
+        /// The server repeats the id of the request in every response.
+        bool expectsEcho = false;
     };
 
     HttpCall makeCall(const ActiveRequest& request, const SendTry& effect, const Span& span) const;
     void addEchoHeader(const ActiveRequest& request, const Span& span, HttpCall& call) const;
     /// @param drainHeader header that also means that the server is leaving; may be empty
     ServerNotice readNotice(const Response& response, const std::string& drainHeader) const;
+    /// Classifies a complete response.
+    void readResponse(const PendingTry& pending, const HttpResult& result, TryFinished& event) const;
     void onResult(TryId id, const HttpResult& result);
 
     RequestTable& m_requests;
--- a/src/shell/http_client.cpp
+++ b/src/shell/http_client.cpp
@@ -220,6 +220,7 @@
             if (!m_call.echoHeader.empty() && beast::iequals(name, m_call.echoHeader)) {
                 if (field.value() != m_call.echoValue)
                     return skipStaleResponse();
+                m_echoed = true;
                 if (!m_call.keepEcho)
                     continue;
             }
@@ -283,7 +284,7 @@
         }
         asio::post(m_timer.get_executor(), [self = shared_from_this(), result] {
             const CallHandler handler = std::exchange(self->m_handler, nullptr);
-            handler({ result, self->m_response });
+            handler({ result, self->m_response, self->m_echoed });
         });
     }
 
@@ -308,6 +309,7 @@
     bool m_sentAny = false;
     bool m_receivedAny = false;
     bool m_reusable = false;
+    bool m_echoed = false;
     bool m_done = false;
 };
 
--- a/src/shell/http_client.h
+++ b/src/shell/http_client.h
@@ -46,6 +46,8 @@
 struct HttpResult {
     TryResult result = TryResult::NotSent;
     ResponsePtr response;
+    /// Whether the response repeats the `echoValue` of the call.
+    bool echoed = false;
 };
 
 using CallId = std::uint64_t;
