Refuse late requests in a planned stop, also if the instance has issued keys

What callers saw (reported by other operators, reproduced here): requests that came late in the grace were passed on and cut at its end. Cause: a stopping instance refused new requests only if it had issued no keys; with keys it went on to accept until the time was over, and ended what was in progress then. Now new requests without keys are refused, as not run, once the balancer has had time to notice, and all of them after the keys have been handed over.

--- a/src/decision/drain.cpp
+++ b/src/decision/drain.cpp
@@ -60,13 +60,11 @@
 {
     if (context.now() - m_requestedAt < m_noticeTime)
         return;
-    if (!m_dependencies.keys.used() && context.now() >= m_incomingUntil) {
-        // The balancer sends no new connections any more. Requests on open connections are refused,
-        // so that callers reconnect to another entry instance.
-        m_dependencies.flow.stopAccepting();
-        m_phase = Phase::Finish;
-        return;
-    }
+    // The balancer sends no new connections any more. Requests that still come are refused, so that callers connect to
+    // another entry instance and no request is in progress when the time is over.
+    m_dependencies.flow.stopAcceptingWithoutKeys();
+    if (!m_dependencies.keys.used() && context.now() >= m_incomingUntil)
+        return beginFinish();
     m_dependencies.flow.pauseKeyedRequests();
     if (!m_dependencies.flow.keyedRequestsIdle() || context.now() < m_incomingUntil)
         return;
@@ -86,8 +84,7 @@
     std::erase_if(candidates, [](const MemberRecord* member) { return member->state != MemberState::Alive; });
     if (candidates.empty() || m_offerCount++ == MAX_OFFERS) {
         m_dependencies.flow.resumeKeyedRequests(context);
-        m_phase = Phase::Finish;
-        return;
+        return beginFinish();
     }
     const MemberRecord& chosen = *candidates[context.random() % candidates.size()];
     m_offeredTo = chosen.name;
@@ -157,8 +154,7 @@
     if (m_dependencies.keys.handoverAcknowledged()) {
         announceSuccessor(context);
         m_dependencies.flow.resumeKeyedRequests(context);
-        m_phase = Phase::Finish;
-        return;
+        return beginFinish();
     }
     if (context.now() < m_nextRetry)
         return;
@@ -185,6 +181,12 @@
     }
 }
 
+void Drain::beginFinish()
+{
+    m_dependencies.flow.stopAccepting();
+    m_phase = Phase::Finish;
+}
+
 void Drain::finish(Context& context)
 {
     if (!m_dependencies.flow.idle())
--- a/src/decision/drain.h
+++ b/src/decision/drain.h
@@ -20,14 +20,13 @@
 ///
 /// Steps:
 /// 1. Report not ready to the balancer and announce the stop to the peers.
-/// 2. Hold back new requests with keys until the running ones end.
+/// 2. Refuse new requests without keys, and hold back those with keys until the running ones end.
 /// 3. Find a successor that accepts the keys.
 /// 4. Hand the keys over. From now on no request with a key runs here.
 /// 5. Resend the parts until each is acknowledged, then forward the held-back requests to the successor.
-/// 6. Stop once no request is left.
+/// 6. Refuse all new requests, and stop once no request is left.
 ///
-/// Steps 2 to 5 are skipped if this entry instance has issued and received no keys; new requests
-/// are then refused. If no peer is alive or none has accepted the keys after 10 offers, the held-back
+/// Steps 3 to 5 are skipped if this entry instance has issued and received no keys. If no peer is alive or none has accepted the keys after 10 offers, the held-back
 /// requests run here. At the time limit the remaining requests end as if their deadlines had passed.
 /// A lost acknowledgement may leave the outcome of a request `unknown`, but never makes a request
 /// run twice.
@@ -74,6 +73,8 @@
     void offerKeys(Context& context);
     void handOver(const InstanceName& successor, Context& context);
     void awaitAck(Context& context);
+    /// Refuses all new requests from now on.
+    void beginFinish();
     void finish(Context& context);
     void announceSuccessor(Context& context);
     void onHandover(const peer::Handover& part, const MemberRecord& sender, Context& context);
--- a/src/decision/request_flow.h
+++ b/src/decision/request_flow.h
@@ -63,6 +63,8 @@
 
     /// Refuses new requests from now on, so that callers connect to another entry instance during the shutdown.
     void stopAccepting() { m_refusesNew = true; }
+    /// Refuses new requests without keys from now on. Those with keys are still passed on to the new owner of their keys.
+    void stopAcceptingWithoutKeys() { m_refusesNewWithoutKeys = true; }
 
     /// Accepts requests from now on. Until the first call, all are refused.
     void startAccepting() { m_accepting = true; }
@@ -354,6 +356,7 @@
     bool m_keyedPaused = false;
     bool m_accepting = false;
     bool m_refusesNew = false;
+    bool m_refusesNewWithoutKeys = false;
     Time m_lastTick;
     /// When this process last resumed after it had been suspended or starved of CPU.
     Time m_resumedAt;
--- a/tests/fleet_test.cpp
+++ b/tests/fleet_test.cpp
@@ -378,6 +378,37 @@
     CHECK(fleet.instance("a").wait(10000) == 0);
 }
 
+TEST_CASE("A planned stop cuts no request that comes late, also if the instance has issued keys")
+{
+    Fleet fleet;
+    startThreeInstances(fleet, "[limits]\nstop_ms = 3000\nstop_notice_ms = 300\n", 400);
+    const std::string key = fleet.fetchIdempotencyKey("a");
+    REQUIRE(call(fleet.callerAddress("a"), "POST", "/orders", { { "Idempotency-Key", key } }, "early-order"));
+    std::atomic<int> cut = 0;
+    std::atomic<int> served = 0;
+    std::atomic<bool> gone = false;
+    std::vector<std::thread> callers;
+    for (int i = 0; i < 6; ++i) {
+        callers.emplace_back([&, i] {
+            for (int number = 0; !gone; ++number) {
+                const std::string target = "/catalogue/late-" + std::to_string(i) + "-" + std::to_string(number) + "-";
+                const auto response = call(fleet.callerAddress("a"), "GET", target);
+                served += response && response->status() == 200;
+                // A connection that is closed before the request reached a backend server is no cut.
+                cut += response ? response->header("cornelwind-outcome") == "unknown" : fleet.countRuns(target) > 0;
+            }
+        });
+    }
+    std::this_thread::sleep_for(std::chrono::seconds(1));
+    fleet.instance("a").signal(SIGTERM);
+    CHECK(fleet.instance("a").wait(10000) == 0);
+    gone = true;
+    for (std::thread& caller : callers)
+        caller.join();
+    CHECK(served > 6);
+    CHECK(cut == 0);
+}
+
 TEST_CASE("A rolling restart under load fails no request and runs no order twice")
 {
     Fleet fleet;
