--- a/include/cornelwind/quota_table.h
+++ b/include/cornelwind/quota_table.h
@@ -25,6 +25,8 @@
     Time statedAt;
     /// Who said so: a request of this entry instance, or another instance.
     std::string source;
+
+    bool holds() const { return perSecond > 0; }
 };
 
 /// How a statement about the limit of a backend server changed what this entry instance believes.
--- a/src/decision/quota_exchange.cpp
+++ b/src/decision/quota_exchange.cpp
@@ -230,7 +230,7 @@
 double QuotaExchange::grantRate(ServerId server, Time now) const
 {
     const Limit* limit = quotas().find(server);
-    if (!limit || limit->perSecond <= 0)
+    if (!limit || !limit->holds())
         return 0;
     const Time since = std::min(m_coordinator.coordinatedSince(server).value_or(now), m_membersChangedAt);
     const bool settled = now - since >= TAKEOVER_TIME && coordinatorOf(server, now) == m_dependencies.members.self();
--- a/src/decision/quota_table.cpp
+++ b/src/decision/quota_table.cpp
@@ -14,7 +14,7 @@
 LimitChange QuotaTable::state(ServerId server, std::optional<double> perSecond, Time statedAt, const std::string& source, Time now)
 {
     const auto found = m_rows.find(server);
-    const bool wasLimited = found != m_rows.end() && found->second.limit.perSecond > 0;
+    const bool wasLimited = found != m_rows.end() && found->second.limit.holds();
     if (found != m_rows.end() && statedAt <= found->second.limit.statedAt)
         return LimitChange::None;
     if (!perSecond) {
@@ -40,7 +40,7 @@
 
 void QuotaTable::expire(Time now)
 {
-    std::erase_if(m_rows, [now](const auto& row) { return !row.second.limit.perSecond && now - row.second.limit.statedAt > ENDED_LIFETIME; });
+    std::erase_if(m_rows, [now](const auto& row) { return !row.second.limit.holds() && now - row.second.limit.statedAt > ENDED_LIFETIME; });
 }
 
 const Limit* QuotaTable::find(ServerId server) const
@@ -52,7 +52,7 @@
 const QuotaTable::Row* QuotaTable::findLimited(ServerId server) const
 {
     const auto found = m_rows.find(server);
-    return found == m_rows.end() || !found->second.limit.perSecond ? nullptr : &found->second;
+    return found == m_rows.end() || !found->second.limit.holds() ? nullptr : &found->second;
 }
 
 bool QuotaTable::isLimited(ServerId server) const
@@ -90,7 +90,7 @@
 {
     std::vector<std::pair<ServerId, Duration>> servers;
     for (const auto& [server, row] : m_rows) {
-        const bool isWanted = row.limit.perSecond > 0 && row.wantedAt > Time {} && now - row.wantedAt < WANT_LIFETIME;
+        const bool isWanted = row.limit.holds() && row.wantedAt > Time {} && now - row.wantedAt < WANT_LIFETIME;
         if (isWanted && !maySend(server, now))
             servers.emplace_back(server, std::max(row.wantedUntil - now, Duration {}));
     }
@@ -100,7 +100,7 @@
 void QuotaTable::addGrant(ServerId server, const InstanceName& coordinator, Time now)
 {
     const auto found = m_rows.find(server);
-    if (found == m_rows.end() || !found->second.limit.perSecond)
+    if (found == m_rows.end() || !found->second.limit.holds())
         return;
     found->second.grants.push_back({ now + GRANT_LIFETIME, coordinator });
     found->second.expectedAt = {};
--- a/tests/fleet_test.cpp
+++ b/tests/fleet_test.cpp
@@ -387,8 +387,10 @@
     std::atomic<int> cut = 0;
     std::atomic<int> served = 0;
     std::atomic<bool> gone = false;
+    constexpr int callerCount = 6;
     std::vector<std::thread> callers;
-    for (int i = 0; i < 6; ++i) {
+    callers.reserve(callerCount);
+    for (int i = 0; i < callerCount; ++i) {
         callers.emplace_back([&, i] {
             for (int number = 0; !gone; ++number) {
                 const std::string target = "/catalogue/late-" + std::to_string(i) + "-" + std::to_string(number) + "-";
--- a/tests/platform_process_test.cpp
+++ b/tests/platform_process_test.cpp
@@ -225,15 +225,15 @@
     for (const char* path : { "/safe/stop", "/unsafe/stop" }) {
         CAPTURE(path);
         Scenario scenario(2, { "s0", "s1" }, 300);
-        const auto [host, port] = splitAddress(scenario.fleet.callerAddress("i0"));
+        const std::pair<std::string, std::uint16_t> address = splitAddress(scenario.fleet.callerAddress("i0"));
         std::vector<std::thread> callers;
+        callers.reserve(6);
         std::atomic<int> cut = 0;
         std::atomic<int> answered = 0;
         std::atomic<int> falseRefusals = 0;
-        std::atomic<bool> stopped = false;
         for (int caller = 0; caller < 6; ++caller) {
             callers.emplace_back([&, caller] {
-                const Socket socket = connectTo(host, port);
+                const Socket socket = connectTo(address.first, address.second);
                 setTimeLimit(socket, 8000);
                 std::string buffered;
                 for (int i = 0; i < 100; ++i) {
@@ -259,7 +259,6 @@
         std::this_thread::sleep_for(1s);
         scenario.fleet.instance("i0").signal(SIGTERM);
         const auto exitCode = scenario.fleet.instance("i0").wait(8000);
-        stopped = true;
         for (std::thread& caller : callers)
             caller.join();
         CHECK(exitCode == 0);
