--- a/tests/support/simulated_fleet.cpp
+++ b/tests/support/simulated_fleet.cpp
@@ -1,6 +1,7 @@
 #include "support/simulated_fleet.h"
 
 #include "peer.pb.h"
+#include "support/limit_record.h"
 
 #include <algorithm>
 #include <cmath>
@@ -41,54 +42,25 @@
     constexpr double SOUND_AFTER_OWN_FAILURE_SECONDS = 2;
     constexpr double SOUND_AFTER_TROUBLE_SECONDS = 6;
 
-    // A server may get LIMIT_FACTOR times its limit, and LIMIT_SLACK requests more, in any LIMIT_WINDOW_SECONDS.
-    constexpr double LIMIT_WINDOW_SECONDS = 4;
-    constexpr double LIMIT_FACTOR = 1.5;
-    constexpr double LIMIT_SLACK = 5;
-    // A limit counts this long after it was first named, and for an entry instance this long after it got a response with it.
-    constexpr double SETTLING_SECONDS = 3;
-    constexpr double BOUND_AFTER_SECONDS = 0.5;
     constexpr double EXCUSED_SECONDS = 3;
 
     Duration durationOf(double seconds) { return Duration { static_cast<Duration::rep>(seconds * 1e6) }; }
 
-    /// A span of time, in seconds from the start of the load.
-    struct Span {
-        double from;
-        double to;
-    };
-
     struct ServerTrouble {
         Trouble trouble;
         /// Entry instances whose link is affected; empty for trouble of the server itself.
         std::vector<bool> instances;
     };
 
-    /// A limit that a server names, in requests a second.
-    struct NamedLimit {
-        Span span;
-        double perSecond;
-    };
-
-    struct Arrival {
-        double at;
-        std::size_t instance;
-    };
-
     struct SimulatedServer {
         std::size_t zone = 0;
         std::vector<Span> ownFailures;
         std::vector<ServerTrouble> troubles;
-        std::vector<NamedLimit> limits;
-        std::vector<Arrival> arrivals;
-        /// When each entry instance first got a response with a limit that holds, by its start.
-        std::map<std::pair<double, std::size_t>, double> toldAt;
+        LimitRecord record;
         std::uint32_t running = 0;
         std::deque<std::function<void()>> queue;
     };
 
-    bool within(const Span& span, double at) { return span.from <= at && at < span.to; }
-
     bool overlaps(const Span& a, const Span& b) { return a.from < b.to && b.from < a.to; }
 
 } // namespace
@@ -144,9 +116,12 @@
     std::vector<LimitReport> worstLimitWindows() const
     {
         std::vector<LimitReport> reports;
+        const auto isExcusedAt = [this](std::size_t instance, double at) { return isExcused(instance, at); };
         for (std::size_t i = 0; i < m_servers.size(); ++i) {
-            for (const NamedLimit& limit : m_servers[i].limits)
-                reports.push_back(worstWindow(i, limit));
+            for (LimitReport& report : m_servers[i].record.worstWindows(isExcusedAt)) {
+                report.server = i;
+                reports.push_back(report);
+            }
         }
         return reports;
     }
@@ -156,11 +131,9 @@
         double used = 0;
         double allowed = 0;
         for (const SimulatedServer& server : m_servers) {
-            for (const NamedLimit& limit : server.limits) {
-                const Span span { limit.span.from + SETTLING_SECONDS, std::min(limit.span.to, m_day.lengthSeconds) };
-                allowed += limit.perSecond * (span.to - span.from);
-                used += static_cast<double>(std::count_if(server.arrivals.begin(), server.arrivals.end(), [&](const Arrival& arrival) { return within(span, arrival.at); }));
-            }
+            const auto [serverUsed, serverAllowed] = server.record.use(m_day.lengthSeconds);
+            used += serverUsed;
+            allowed += serverAllowed;
         }
         return { used, allowed };
     }
@@ -246,7 +219,7 @@
     void addTrouble(SimulatedServer& server, const Trouble& trouble)
     {
         if (trouble.kind == TroubleKind::ServersLimited)
-            return server.limits.push_back({ { trouble.from, trouble.to }, trouble.strength * (0.5 + uniform()) });
+            return server.record.addLimit({ { trouble.from, trouble.to }, trouble.strength * (0.5 + uniform()) });
         ServerTrouble added { trouble, {} };
         if (trouble.kind == TroubleKind::LinksLossy) {
             for (std::size_t i = 0; i < m_day.instances; ++i)
@@ -477,7 +450,7 @@
     void reachServer(std::size_t instance, std::size_t index, Duration delay, TryId id)
     {
         SimulatedServer& server = m_servers[index];
-        server.arrivals.push_back({ secondsNow(), instance });
+        server.record.addArrival({ secondsNow(), instance });
         const bool failsByItself = std::any_of(server.ownFailures.begin(), server.ownFailures.end(), [this](const Span& span) { return within(span, secondsNow()); });
         if (chance(failsByItself ? UNHEALTHY_ERRORS : activeStrength(server, TroubleKind::ServersFail)))
             return schedule(ERROR_TIME, [=, this] { respond(instance, index, delay, id, TryResult::Answered, m_failure); });
@@ -516,25 +489,16 @@
     void respond(std::size_t instance, std::size_t index, Duration delay, TryId id, TryResult result, const ResponsePtr& response)
     {
         ServerNotice notice;
-        const NamedLimit* limit = currentLimit(m_servers[index]);
+        const NamedLimit* limit = m_servers[index].record.current(secondsNow());
         if (limit)
             notice.limit = { StatedLimit::Kind::PerSecond, limit->perSecond };
         schedule(delay, [=, this, since = limit ? limit->span.from : 0.0] {
             if (notice.limit.kind == StatedLimit::Kind::PerSecond)
-                m_servers[index].toldAt.try_emplace({ since, instance }, secondsNow());
+                m_servers[index].record.addTold(since, instance, secondsNow());
             finish(instance, id, result, response, notice);
         });
     }
 
-    const NamedLimit* currentLimit(const SimulatedServer& server) const
-    {
-        for (const NamedLimit& limit : server.limits) {
-            if (within(limit.span, secondsNow()))
-                return &limit;
-        }
-        return nullptr;
-    }
-
     void finish(std::size_t instance, TryId id, TryResult result, const ResponsePtr& response, const ServerNotice& notice)
     {
         if (m_instances[instance].tries.erase(id.value()))
@@ -549,34 +513,6 @@
         });
     }
 
-    // The times of the requests that count for a limit.
-    std::vector<double> boundArrivals(const SimulatedServer& server, const NamedLimit& limit) const
-    {
-        std::vector<double> times;
-        for (const Arrival& arrival : server.arrivals) {
-            const auto told = server.toldAt.find({ limit.span.from, arrival.instance });
-            const bool isBound = told != server.toldAt.end() && told->second + BOUND_AFTER_SECONDS <= arrival.at;
-            if (isBound && within({ limit.span.from + SETTLING_SECONDS, limit.span.to }, arrival.at) && !isExcused(arrival.instance, arrival.at))
-                times.push_back(arrival.at);
-        }
-        return times;
-    }
-
-    LimitReport worstWindow(std::size_t index, const NamedLimit& limit) const
-    {
-        LimitReport worst { index, limit.span.from, limit.perSecond, 0, LIMIT_FACTOR * limit.perSecond * LIMIT_WINDOW_SECONDS + LIMIT_SLACK };
-        const std::vector<double> times = boundArrivals(m_servers[index], limit);
-        for (std::size_t i = 0; i < times.size(); ++i) {
-            const auto end = std::lower_bound(times.begin(), times.end(), times[i] + LIMIT_WINDOW_SECONDS);
-            const auto count = static_cast<std::size_t>(end - times.begin()) - i;
-            if (count > worst.arrivals) {
-                worst.arrivals = count;
-                worst.from = times[i];
-            }
-        }
-        return worst;
-    }
-
     bool isSound(const SimulatedServer& server, const Span& window) const
     {
         for (const Span& failure : server.ownFailures) {
@@ -596,8 +532,7 @@
             if (!isSound(server, span))
                 continue;
             ++report.sound;
-            const auto first = std::lower_bound(server.arrivals.begin(), server.arrivals.end(), span.from, [](const Arrival& arrival, double at) { return arrival.at < at; });
-            report.idle += first == server.arrivals.end() || first->at >= span.to;
+            report.idle += !server.record.countArrivals(span);
         }
         for (const CallerRequest& request : m_requests) {
             if (!within(span, request.at))
--- a/tests/support/simulated_fleet.h
+++ b/tests/support/simulated_fleet.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "cornelwind/reducer.h"
+#include "support/limit_record.h"
 
 #include <cstddef>
 #include <cstdint>
@@ -75,19 +76,6 @@
     std::size_t unserved = 0;
 };
 
-/// Requests that a limited server got in a window of four seconds.
-struct LimitReport {
-    /// Index of the server, and start of the window in seconds from the start of the load.
-    std::size_t server = 0;
-    double from = 0;
-    /// Requests a second that the server named.
-    double limit = 0;
-    /// Requests from entry instances that had passed on a response with the limit half a second before.
-    std::size_t arrivals = 0;
-    /// One and a half times what the limit allows in the window, and five more.
-    double allowed = 0;
-};
-
 /// A fleet of reducers with one service whose requests must not repeat, in simulated time.
 ///
 /// A server is sound if it does not fail by itself and has not for 2 s, and neither it nor its links have had any trouble for
