Route a request before it is refused in a planned stop

What callers would have seen: a stopping instance that had issued keys crashed on the next request without a key, for as long as it looked for a successor.

--- a/src/decision/request_flow.cpp
+++ b/src/decision/request_flow.cpp
@@ -110,9 +110,9 @@
         return refuse(request, { ErrorKind::NoRoute, outcomeBeforeSend, {} }, context);
     request.sheet = m_sheet;
     request.rule = &m_sheet->rules[*rule];
+    request.service = findOrCreateService(*m_sheet, chooseService(*request.rule, context));
     if (m_refusesNewWithoutKeys && !needsKey(request))
         return refuse(request, { ErrorKind::Draining, Outcome::NotRun, DRAINING_RETRY_AFTER }, context);
-    request.service = findOrCreateService(*m_sheet, chooseService(*request.rule, context));
     const Time timeLimit = context.now() + request.rule->timeLimit;
     request.deadline = event.remaining ? std::min<Time>(timeLimit, context.now() + *event.remaining) : timeLimit;
     if (request.rule->runLimit == RunLimit::TimeLimit)
