Order the published servers by the revision of each change, from whatever source it comes

Cause: the registry knew one revision for all servers. Entries carried none, so that an older complete list, a change that follows a lost one, or a list whose sender held a removal back put a removed server back. Class: replicated state merged without a version of each item. Change: last writer wins by the revision of each entry and removal; the registry knows up to which revision it has every change, and removals are dropped once it has reached them. Lists and changes of members carry the revisions, and whether the sender still uses a server whose entry may only have expired. A complete list says as of which revision each page holds. A member's answer to an earlier start of an instance is ignored.

--- a/include/cornelwind/decision.h
+++ b/include/cornelwind/decision.h
@@ -54,10 +54,14 @@
     ServerBackoff,
     /// A backend server said something of itself that cannot be read, or that is bounded here.
     NoticeInvalid,
+    /// The platform publishes a backend server that was not in use here.
+    ServerAdded,
+    /// The entry of a backend server cannot be used: it is malformed or out of bounds.
+    EntryInvalid,
 };
 
 /// Number of values of `DecisionKind`.
-inline constexpr std::size_t DECISION_KINDS = 22;
+inline constexpr std::size_t DECISION_KINDS = 24;
 
 /// @return the name used in logs, metrics and explanations
 const char* toString(DecisionKind);
--- a/include/cornelwind/event.h
+++ b/include/cornelwind/event.h
@@ -152,10 +152,13 @@
 /// The platform published new, changed or removed backend servers.
 struct ServersPublished {
     std::vector<ServerChange> changes;
-    /// Revision of the platform's store that `changes` reaches.
+    /// Every change of a server up to this revision of the platform's store is contained, here or in events before.
     StoreRevision revision;
     /// Whether `changes` is the complete list, so that servers missing from it are removed.
     bool complete = false;
+    /// The pages in which a complete list was read, in order. `revision` is that of the first page; later pages may contain
+    /// later changes. If empty, the list was read at once.
+    std::vector<ListedPage> pages {};
 };
 
 /// The settings file was reloaded.
--- a/include/cornelwind/published_server.h
+++ b/include/cornelwind/published_server.h
@@ -2,8 +2,10 @@
 
 #include "cornelwind/types.h"
 
+#include <cstddef>
 #include <cstdint>
 #include <optional>
+#include <string>
 
 namespace cornelwind {
 
@@ -25,6 +27,18 @@
     friend bool operator==(const PublishedServer&, const PublishedServer&) = default;
 };
 
+/// Longest accepted name of a backend server; the platform's keys have at most 200 bytes.
+inline constexpr std::size_t MAX_SERVER_NAME_BYTES = 200;
+/// Highest accepted number of slots: each running request needs a TCP connection, and thus a port of its own.
+inline constexpr Slots MAX_SLOTS { 65535 };
+/// Longest accepted warm-up.
+inline constexpr Millis MAX_WARMUP { std::chrono::hours(1) };
+
+/// Checks the values of an entry against their bounds.
+///
+/// @return what is wrong with it; empty if nothing is
+std::string findProblem(const PublishedServer& server);
+
 /// The addition, update or removal of one published backend server.
 struct ServerChange {
     ServerName name;
@@ -32,6 +46,16 @@
     std::optional<PublishedServer> server;
     /// Revision of the platform's store at which the change happened.
     StoreRevision revision;
+    /// Why the entry could not be parsed; empty otherwise.
+    std::string problem {};
+};
+
+/// One page of a complete list of entries, which the store sorts by name.
+struct ListedPage {
+    /// Last name that the page covers; empty for the last page, which covers all names after the page before.
+    std::optional<ServerName> last;
+    /// Revision of the platform's store when the page was read.
+    StoreRevision asOf;
 };
 
 } // namespace cornelwind
--- a/src/decision/decision.cpp
+++ b/src/decision/decision.cpp
@@ -10,7 +10,8 @@
         "ejected", "ejection-withheld", "returned", "path-avoided", "path-restored", "leaving", "quarantined",
         "refused", "sheet-adopted", "sheet-refused", "member-changed", "self-distrusted", "draining", "handed-over",
         "platform-changed", "server-suspected", "server-cleared", "servers-idle",
-        "server-limited", "server-unlimited", "server-backoff", "notice-invalid"
+        "server-limited", "server-unlimited", "server-backoff", "notice-invalid",
+        "server-added", "entry-invalid"
     };
 
 } // namespace
--- a/src/decision/reducer_state.cpp
+++ b/src/decision/reducer_state.cpp
@@ -128,7 +128,7 @@
     } else if (message.has_grant_return())
         m_quotas.onGrantReturn(message.grant_return(), context);
     else if (message.has_servers_request())
-        sendServerList(*sender, context);
+        sendServerList(message.servers_request(), *sender, context);
     else if (message.has_servers_news())
         applyServerUpdates(message.servers_news(), context);
     else if (message.has_servers_reply())
@@ -217,7 +217,7 @@
     if (!source)
         return;
     auto message = std::make_shared<peer::Envelope>();
-    message->mutable_servers_request();
+    message->mutable_servers_request()->set_incarnation(m_members.incarnation().value());
     m_gossip.send(*source, std::move(message), context);
 }
 
@@ -225,7 +225,7 @@
 // watchers.
 void Reducer::State::notifyZoneOfServers(Context& context)
 {
-    const auto update = m_serverRegistry.takePendingUpdate();
+    const auto update = m_serverRegistry.takePendingUpdate(context.now());
     if (!update || !m_watching)
         return;
     for (const MemberRecord* member : m_members.live()) {
@@ -241,15 +241,20 @@
     m_gossip.setServersRevision(m_serverRegistry.revision());
 }
 
-void Reducer::State::sendServerList(const MemberRecord& to, Context& context)
+void Reducer::State::sendServerList(const peer::ServersRequest& request, const MemberRecord& to, Context& context)
 {
     auto message = std::make_shared<peer::Envelope>();
-    m_serverRegistry.write(*message->mutable_servers_reply());
+    message->mutable_servers_reply()->set_requested_by(request.incarnation());
+    m_serverRegistry.write(*message->mutable_servers_reply(), context.now());
     m_gossip.send(to, std::move(message), context);
 }
 
 void Reducer::State::applyServerList(const peer::ServersReply& reply, Context& context)
 {
+    // The transport may deliver an answer to an earlier start of this instance, which by now is out of date. Zero comes
+    // from members that do not know the field.
+    if (reply.requested_by() && reply.requested_by() != m_members.incarnation().value())
+        return;
     if (m_serverRegistry.onPeerList(reply, context))
         adoptSheetWithServers(context);
     m_gossip.setServersRevision(m_serverRegistry.revision());
--- a/src/decision/reducer_state.h
+++ b/src/decision/reducer_state.h
@@ -18,6 +18,10 @@
 
 namespace cornelwind {
 
+namespace peer {
+    class ServersRequest;
+}
+
 /// Owns the modules of one entry instance and dispatches each event to them.
 class Reducer::State {
 public:
@@ -56,7 +60,7 @@
     void catchUp(Context& context);
     void notifyZoneOfServers(Context& context);
     void applyServerUpdates(const peer::ServersNews& update, Context& context);
-    void sendServerList(const MemberRecord& to, Context& context);
+    void sendServerList(const peer::ServersRequest& request, const MemberRecord& to, Context& context);
     void applyServerList(const peer::ServersReply& reply, Context& context);
     void sendSheet(const MemberRecord& to, Context& context);
     void updateWatch(Context& context);
--- a/src/decision/server_registry.h
+++ b/src/decision/server_registry.h
@@ -15,20 +15,29 @@
 
 namespace peer {
     class Envelope;
+    class ServerRemoval;
     class ServersNews;
-    class ServerEntry;
     class ServersReply;
 }
 
-/// The backend servers that the platform publishes separately from the sheet.
+/// The backend servers that the platform publishes separately from the sheet: a last-writer-wins map.
+///
+/// Each entry and each removal carries the revision of the platform's store that
+/// made it. Of two changes of one server the one with the higher revision holds,
+/// from whatever source it comes and in whatever order: the store, its watch, or
+/// the lists and changes of members. In addition the registry knows `revision()`,
+/// up to which it has every change. A server that is not known here and whose
+/// change is not later than that was removed, so that removals need not be kept
+/// once `revision()` has reached them. docs/design/published-servers.md compares
+/// this with other designs.
 ///
 /// While the platform is unreachable, the last known servers stay in use. During
 /// an outage servers cannot renew their entries, so that entries of healthy
 /// servers may expire. A server whose entry is removed during an outage, or
 /// within `EXPIRY_GRACE` after it, therefore stays in use until `EXPIRY_GRACE`
-/// after the removal and after the end of the outage. It is removed then unless
-/// its entry has been restored. A server that is leaving is removed at once.
-/// Memory: one entry for each published server.
+/// after the removal and after the end of the outage, unless its entry has been
+/// restored. A server that is leaving is out of use at once.
+/// Memory: one record for each published server.
 class ServerRegistry {
 public:
     /// Time after an outage in which servers restore entries that expired during it.
@@ -47,18 +56,21 @@
     /// @return whether the servers in use changed
     bool onTick(Context& context);
 
-    /// Adopts the complete list of a member if its revision is higher than that known here.
+    /// Applies the complete list of a member, unless it is older than what is known here.
     ///
     /// @return whether the servers in use changed
     bool onPeerList(const peer::ServersReply& reply, Context& context);
     /// Writes the complete list and its revision into a reply.
-    void write(peer::ServersReply& reply) const;
+    ///
+    /// @param now time from which the remaining use of servers with removed entries is counted
+    void write(peer::ServersReply& reply, Time now) const;
 
     /// Collects the changes since the last call, as a message for the members of the availability zone.
     ///
-    /// @return the message, or null if nothing changed
-    std::shared_ptr<peer::Envelope> takePendingUpdate();
-    /// Applies changes from a member that watches the platform, unless they are stale or earlier ones are missing.
+    /// @param now time from which the remaining use of servers with removed entries is counted
+    /// @return the message, or null if neither a server nor `revision()` changed
+    std::shared_ptr<peer::Envelope> takePendingUpdate(Time now);
+    /// Applies changes from a member, unless no list is known here yet.
     ///
     /// @return whether the servers in use changed
     bool onPeerUpdate(const peer::ServersNews& news, Context& context);
@@ -66,48 +78,75 @@
     /// @return a copy of the sheet in which each service has the published servers that take new requests
     Sheet withServers(const Sheet& sheet) const;
 
-    /// @return the highest revision applied
+    /// @return the revision up to which every change is known here
     StoreRevision revision() const { return m_revision; }
     bool reachable() const { return m_reachable; }
-    /// @return whether any list or change of servers has arrived since the start
+    /// @return whether any list of servers has arrived since the start
     bool hasServerList() const { return m_hasList; }
     /// @return when the latest outage started
     Time unreachableSince() const { return m_unreachableSince; }
 
 private:
-    struct Entry {
-        PublishedServer server;
-        /// Set when the entry may have expired in an outage: the server is removed at this time unless restored.
+    /// The latest known change of one server.
+    struct Record {
+        /// Revision of the change.
+        StoreRevision revision;
+        /// Whether the change removed the entry.
+        bool removed = false;
+        /// The server that is in use or leaving. Kept after a removal until `removeAt`.
+        std::optional<PublishedServer> server;
+        /// When a server whose entry was removed goes out of use, unless the entry is restored.
         std::optional<Time> removeAt;
+        /// Whether `removeAt` is put off until `EXPIRY_GRACE` after the end of an outage.
+        bool awaitsPlatform = false;
     };
+    using Records = std::map<ServerName, Record>;
 
-    static void writeEntry(const PublishedServer& server, peer::ServerEntry& row);
-    void erase(std::map<ServerName, Entry>::iterator entry);
-    /// @return the names of the servers known here that are not in `listedNames`
-    std::vector<ServerName> findMissing(const std::set<ServerName>& listedNames) const;
-    /// Adds or updates a server.
-    ///
-    /// @return whether anything changed
-    bool upsert(const PublishedServer& server, Context& context);
-    /// Removes a server whose entry the platform removed. If the entry may only have expired in an outage, schedules
-    /// the removal instead.
+    /// How a removal was learned, which decides when it takes effect.
+    struct Removal {
+        StoreRevision revision;
+        /// When the server goes out of use; empty for at once.
+        std::optional<Time> removeAt;
+        /// See `Record`.
+        bool awaitsPlatform = false;
+        /// For operators.
+        const char* evidence;
+    };
+
+    /// @return whether a change at `revision` is later than what is known of the server
+    bool isNews(const ServerName& name, StoreRevision revision) const;
+    /// Applies one change from any source.
     ///
-    /// @return whether the server was removed
-    bool removeOrDefer(const ServerName& name, Context& context);
-    /// Removes a server that a member no longer lists. Never defers the removal: if the entry may only have expired,
-    /// the member itself has listed the server until the grace time ended.
+    /// @return whether the servers in use changed
+    bool apply(const ServerChange& change, const Removal& removal, Context& context);
+    bool applyEntry(const PublishedServer& server, StoreRevision revision, Context& context);
+    bool applyRemoval(const ServerName& name, const Removal& removal, Context& context);
+    bool applyPeerRemoval(const peer::ServerRemoval& row, Context& context);
+    /// Removes the servers that a complete list of the platform does not contain.
     ///
-    /// @return whether the server was removed
-    bool removeReportedByPeer(const ServerName& name, Context& context);
+    /// @return whether the servers in use changed
+    bool removeUnlisted(const ServersPublished& event, Context& context);
+    /// @return the removal of an entry that the platform removed: at once, or later if the entry may only have expired
+    Removal removalByPlatform(StoreRevision revision, Time now) const;
+    /// Checks whether the sender has seen each entry here that changed in the time that its message covers. A sender that
+    /// read a complete list does not know of an entry that came and went before.
+    bool containsOwnChanges(const peer::ServersNews& news) const;
+    static void writeRemoval(const ServerName& name, const Record& record, Time now, peer::ServerRemoval& row);
+    /// @return whether the time in which the entry could have been restored has passed
+    bool isOver(const Record& record, Time now) const;
+    /// Takes a server out of use and reports it.
+    void dropServer(Records::iterator position, const char* evidence, Context& context);
+    /// Forgets the removals that `revision()` has reached.
+    void forgetRemovals();
     /// @return whether an entry that is removed now may only have expired: in an outage and for `EXPIRY_GRACE` after it
     bool inExpiryGrace(Time now) const;
 
-    std::map<ServerName, Entry> m_entries;
+    Records m_records;
+    /// Every change up to this revision is known.
     StoreRevision m_revision;
-    /// Names of entries changed and removed since the last `takePendingUpdate`.
-    std::set<ServerName> m_changed;
-    std::set<ServerName> m_removed;
-    /// Revision at the last `takePendingUpdate` that returned a message.
+    /// Servers changed since they were last sent to the members.
+    std::set<ServerName> m_pending;
+    /// Value of `m_revision` in the latest message to the members.
     StoreRevision m_sentRevision;
     bool m_reachable = true;
     bool m_hasList = false;
--- a/src/shell/instance.cpp
+++ b/src/shell/instance.cpp
@@ -33,6 +33,7 @@
         case DecisionKind::SelfDistrusted:
         case DecisionKind::Quarantined:
         case DecisionKind::NoticeInvalid:
+        case DecisionKind::EntryInvalid:
             return LogLevel::Warn;
         default:
             return LogLevel::Info;
--- a/src/shell/metadata_store.h
+++ b/src/shell/metadata_store.h
@@ -42,6 +42,8 @@
     StoreRevision revision;
     /// Where the next page begins; empty after the last one.
     std::string nextPage;
+    /// Last server that the page covers; empty after the last page.
+    std::optional<ServerName> lastServer;
 };
 
 /// Interface to the metadata store, which keeps a history of revisions. Makes single calls and does not retry.
--- a/src/shell/metadata_store_watcher.cpp
+++ b/src/shell/metadata_store_watcher.cpp
@@ -78,8 +78,7 @@
 {
     m_state = State::ReadSheet;
     m_nextPage.clear();
-    m_servers.clear();
-    m_latestServerRevision = {};
+    m_list = { {}, {}, true };
 }
 
 void MetadataStoreWatcher::call()
@@ -155,15 +154,16 @@
 void MetadataStoreWatcher::onServersRead(const StoreReply& reply)
 {
     for (const StoreChange& change : reply.changes) {
-        if (!change.server)
-            continue;
-        m_servers.push_back(*change.server);
-        m_latestServerRevision = std::max(m_latestServerRevision, change.revision);
+        if (change.server)
+            m_list.changes.push_back(*change.server);
     }
+    if (m_list.pages.empty())
+        m_list.revision = reply.revision;
+    m_list.pages.push_back({ reply.lastServer, reply.revision });
     m_nextPage = reply.nextPage;
     if (m_nextPage.empty()) {
         m_state = State::Watch;
-        m_handler(ServersPublished { std::exchange(m_servers, {}), m_latestServerRevision, true });
+        m_handler(std::exchange(m_list, {}));
     }
     call();
 }
@@ -176,13 +176,14 @@
             m_handler(SheetFetched { *change.sheet });
         if (change.server)
             servers.changes.push_back(*change.server);
-        servers.revision = std::max(servers.revision, change.revision);
     }
-    m_revision = std::max(m_revision, reply.revision);
-    if (servers.changes.empty())
+    if (servers.changes.empty() && reply.revision <= m_revision)
         m_handler(PlatformReachable {});
-    else
+    else {
+        servers.revision = reply.revision;
         m_handler(std::move(servers));
+    }
+    m_revision = std::max(m_revision, reply.revision);
     // Changes often come in bursts. Waiting before the next call lets one call receive a whole burst.
     scheduleCall(reply.changes.empty() ? Duration {} : Duration { BATCH_DELAY });
 }
--- a/src/shell/metadata_store_watcher.h
+++ b/src/shell/metadata_store_watcher.h
@@ -69,10 +69,7 @@
     StoreRevision m_revision;
     std::string m_nextPage;
     /// Backend servers read so far, while the pages are read.
-    std::vector<ServerChange> m_servers;
-    /// Latest revision of an entry in `m_servers`. Entry instances compare this one, because the store's own revision
-    /// also counts changes of other values.
-    StoreRevision m_latestServerRevision;
+    ServersPublished m_list { {}, {}, true };
     bool m_watchEnabled = false;
     /// No call is in progress and none is scheduled.
     bool m_suspended = false;
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -107,7 +107,10 @@
 
 StoreReply okReply(std::uint64_t revision, std::vector<StoreChange> changes = {}, const std::string& next = {})
 {
-    return { StoreStatus::Ok, std::move(changes), StoreRevision { revision }, next };
+    StoreReply reply { StoreStatus::Ok, std::move(changes), StoreRevision { revision }, next, {} };
+    if (!next.empty())
+        reply.lastServer = ServerName { next.substr(std::string("servers/").size()) };
+    return reply;
 }
 
 StoreChange serverChange(std::uint64_t revision, const std::string& name)
@@ -333,8 +336,13 @@
     const auto& list = std::get<ServersPublished>(fixture.events.back());
     CHECK(list.complete);
     CHECK(list.changes.size() == 2);
-    // Entry instances compare the latest revision of a server entry, not the store's revision.
-    CHECK(list.revision == StoreRevision { 6 });
+    // Entries may change between the pages, so the list contains every change only up to the first page's revision.
+    CHECK(list.revision == StoreRevision { 11 });
+    REQUIRE(list.pages.size() == 2);
+    CHECK(list.pages[0].last == ServerName { "a" });
+    CHECK(list.pages[0].asOf == StoreRevision { 11 });
+    CHECK_FALSE(list.pages[1].last);
+    CHECK(list.pages[1].asOf == StoreRevision { 14 });
     // The watch starts at the first read's revision, so it reports changes made between the reads.
     CHECK(fixture.respond(okReply(15, { serverChange(12, "c"), sheetChange(15) })) == "watch 10");
     CHECK(fixture.count<SheetFetched>() == 2);
--- a/tests/server_registry_test.cpp
+++ b/tests/server_registry_test.cpp
@@ -165,7 +165,7 @@
     source.upsert("a", 5);
     source.upsert("b", 7);
     peer::ServersReply reply;
-    source.registry().write(reply);
+    source.registry().write(reply, source.now());
 
     ServerRegistryFixture behind;
     behind.upsert("c", 3);
@@ -189,7 +189,7 @@
     source.upsert("b", 7);
     source.remove("a", 8);
     peer::ServersReply list;
-    source.registry().write(list);
+    source.registry().write(list, source.now());
     peer::ServersNews update;
     update.set_since(7);
     update.set_revision(8);
@@ -228,7 +228,7 @@
     source.upsert("b", 7);
     source.upsert("c", 8);
     peer::ServersReply list;
-    source.registry().write(list);
+    source.registry().write(list, source.now());
 
     ServerRegistryFixture fixture;
     fixture.upsert("b", 3);
