An unexpected error drops one event, not the process

What operators would see: an exception that nobody foresaw in one message or call ended the instance, and a repeated one ended it again and again. Change: events and effects are guarded one by one, the error is logged, and the clock is set again before its work. The sum of the weights of a traffic split no longer overflows.

--- a/src/decision/request_flow.cpp
+++ b/src/decision/request_flow.cpp
@@ -67,10 +67,10 @@
     double& position = entry->second;
     position += goldenRatio;
     position -= std::floor(position);
-    std::uint32_t total = 0;
+    std::uint64_t total = 0;
     for (const TrafficShare& share : rule.split)
         total += share.weight;
-    double rest = position * total;
+    double rest = position * static_cast<double>(total);
     for (const TrafficShare& share : rule.split) {
         if (rest < share.weight)
             return share.service;
--- a/src/shell/instance.cpp
+++ b/src/shell/instance.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <csignal>
+#include <exception>
 #include <utility>
 
 namespace cornelwind {
@@ -104,15 +105,27 @@
 {
     awaitSignal();
     tick();
-    m_io.run();
+    while (!m_io.stopped())
+        guard([this] { m_io.run(); });
+}
+
+template <typename Action>
+void Instance::guard(const Action& action)
+{
+    try {
+        action();
+    } catch (const std::exception& error) {
+        // One message that nobody foresaw must not end the requests of all callers.
+        logMessage(LogLevel::Error, LogComponent::Main, "Unexpected error; the event is dropped: " + escapeForLog(error.what()));
+    }
 }
 
 void Instance::apply(EventBody body)
 {
     EffectList effects = std::exchange(m_effectBuffer, {});
-    m_reducer.apply({ steadyNow(), randomBits(), std::move(body) }, effects);
+    guard([&] { m_reducer.apply({ steadyNow(), randomBits(), std::move(body) }, effects); });
     for (const Effect& effect : effects)
-        perform(effect);
+        guard([&] { perform(effect); });
     effects.clear();
     m_effectBuffer = std::move(effects);
 }
@@ -230,14 +243,15 @@
 
 void Instance::tick()
 {
-    apply(Tick {});
-    maintain();
-    flushLog();
+    // Before the work, so that an unexpected error in it does not stop the clock.
     m_tickTimer.expires_after(TICK_INTERVAL);
     m_tickTimer.async_wait([this](boost::system::error_code error) {
         if (!error)
             tick();
     });
+    apply(Tick {});
+    maintain();
+    flushLog();
 }
 
 void Instance::maintain()
--- a/src/shell/instance.h
+++ b/src/shell/instance.h
@@ -58,6 +58,9 @@
     void run();
 
 private:
+    /// Runs an action, and logs an exception that it throws instead of ending the process.
+    template <typename Action>
+    void guard(const Action& action);
     void apply(EventBody body);
     void perform(const Effect& effect);
     void on(const ReadBody& effect);
