--- a/tests/reducer_test.cpp
+++ b/tests/reducer_test.cpp
@@ -446,3 +446,40 @@
         CHECK(driver.suspicions == row.suspicions);
     }
 }
+
+// Guards against a server that is in use again after a restart: the transport keeps messages for an instance that is down, and
+// delivers them to its next start.
+TEST_CASE("A list of servers that an earlier start of the instance had asked for is ignored")
+{
+    struct Row {
+        std::uint64_t requestedBy;
+        bool isAdopted;
+    };
+    for (const Row& row : { Row { 6, false }, Row { 7, true } }) {
+        CAPTURE(row.requestedBy);
+        Settings settings;
+        settings.name = InstanceName { "a" };
+        settings.zone = ZoneName { "z" };
+        settings.peers = { "10.1.0.1", 9000 };
+        settings.platformForm = PlatformForm::Store;
+        Time now { std::chrono::seconds(100) };
+        Reducer reducer = Reducer::Builder().settings(settings).incarnation(Incarnation { 7 }).start(now).build();
+        EffectList effects;
+        const auto apply = [&](EventBody body) { reducer.apply({ now, 1, std::move(body) }, effects); };
+        apply(SheetFetched { makeSheet(1, rule("idempotent")) });
+        auto message = std::make_shared<peer::Envelope>();
+        message->set_version(1);
+        message->mutable_from()->set_name("b");
+        message->mutable_from()->set_zone("z");
+        message->mutable_from()->set_address("10.1.0.2:9000");
+        message->mutable_from()->set_incarnation(9);
+        message->mutable_servers_reply()->set_revision(5);
+        message->mutable_servers_reply()->set_requested_by(row.requestedBy);
+        apply(PeerMessageReceived { message });
+        for (int i = 0; i < 10; ++i) {
+            now += std::chrono::milliseconds(100);
+            apply(Tick {});
+        }
+        CHECK(reducer.status(now).ready == row.isAdopted);
+    }
+}
--- a/tests/server_registry_test.cpp
+++ b/tests/server_registry_test.cpp
@@ -5,6 +5,7 @@
 
 #include <catch2/catch.hpp>
 
+#include <limits>
 #include <set>
 #include <string>
 #include <vector>
@@ -250,3 +251,93 @@
     fixture.publish({ { ServerName { "x" }, makeServer("x", false, "other") } }, 1);
     CHECK(fixture.inUse().empty());
 }
+
+// Guards against DRAIN: a removed server got requests again, because an older entry of another member put it back.
+TEST_CASE("An older entry of a member does not put a removed server back")
+{
+    ServerRegistryFixture behind;
+    behind.upsert("a", 5);
+    const auto oldNews = behind.registry().takePendingUpdate(behind.now());
+    peer::ServersReply oldList;
+    behind.registry().write(oldList, behind.now());
+
+    for (const bool byList : { false, true }) {
+        CAPTURE(byList);
+        ServerRegistryFixture fixture;
+        fixture.publish({}, 4, true);
+        fixture.upsert("a", 5);
+        // Later than what the member claims to have seen, but the entry in its message is older.
+        fixture.remove("a", 6);
+        oldList.set_revision(9);
+        EffectList effects;
+        Context context(fixture.now(), 1, effects);
+        if (byList)
+            fixture.registry().onPeerList(oldList, context);
+        else
+            fixture.registry().onPeerUpdate(oldNews->servers_news(), context);
+        CHECK(fixture.inUse().empty());
+    }
+}
+
+TEST_CASE("A malformed entry in a message of a member names no server, and the others hold")
+{
+    struct Row {
+        const char* name;
+        void (*spoil)(peer::ServerEntry& entry);
+    };
+    const Row rows[] = {
+        { "no address", [](peer::ServerEntry& entry) { entry.clear_address(); } },
+        { "port 0", [](peer::ServerEntry& entry) { entry.set_address("10.0.0.1:0"); } },
+        { "port 65536", [](peer::ServerEntry& entry) { entry.set_address("10.0.0.1:65536"); } },
+        { "address in words", [](peer::ServerEntry& entry) { entry.set_address("somewhere:80"); } },
+        { "no slots", [](peer::ServerEntry& entry) { entry.set_slots(0); } },
+        { "slots too large", [](peer::ServerEntry& entry) { entry.set_slots(2000000000); } },
+        { "warm-up too long", [](peer::ServerEntry& entry) { entry.set_warmup_ms(4294967295U); } },
+        { "no service", [](peer::ServerEntry& entry) { entry.clear_service(); } },
+        { "long name", [](peer::ServerEntry& entry) { entry.set_name(std::string(10000, 'x')); } },
+    };
+    for (const Row& row : rows) {
+        for (const bool byList : { false, true }) {
+            CAPTURE(row.name, byList);
+            ServerRegistryFixture source;
+            source.upsert("a", 5);
+            source.upsert("b", 6);
+            peer::ServersReply list;
+            source.registry().write(list, source.now());
+            auto news = *source.registry().takePendingUpdate(source.now())->mutable_servers_news();
+            row.spoil(*list.mutable_servers(0));
+            row.spoil(*news.mutable_changed(0));
+
+            ServerRegistryFixture fixture;
+            fixture.publish({}, 1, true);
+            EffectList effects;
+            Context context(fixture.now(), 1, effects);
+            if (byList)
+                fixture.registry().onPeerList(list, context);
+            else
+                fixture.registry().onPeerUpdate(news, context);
+            CHECK(fixture.inUse() == Names { "b" });
+            CHECK(effects.size() >= 1);
+        }
+    }
+}
+
+TEST_CASE("The slots of an entry count up to the connections of its service, and their sum does not overflow")
+{
+    ServerRegistryFixture fixture;
+    Sheet sheet;
+    sheet.services.emplace_back();
+    sheet.services[0].name = ServiceName { "s" };
+    sheet.services[0].connections = std::numeric_limits<std::uint32_t>::max();
+    PublishedServer server = makeServer("big");
+    server.slots = MAX_SLOTS;
+    std::vector<ServerChange> changes;
+    for (std::uint64_t i = 1; i <= 70000; ++i) {
+        server.name = ServerName { "big-" + std::to_string(i) };
+        changes.push_back({ server.name, server, StoreRevision { i } });
+    }
+    fixture.publish(std::move(changes), 70000, true);
+    CHECK(fixture.registry().withServers(sheet).services[0].floorSlots == Slots { std::numeric_limits<std::uint32_t>::max() });
+    sheet.services[0].connections = 330;
+    CHECK(fixture.registry().withServers(sheet).services[0].servers.front().slots == Slots { 330 });
+}
