Believe an answer only with the id of the request that it answers

Report of another operator: a server sent a second copy of an answer, late, on a connection in use again, and the next caller got an answer that was not its own. It could happen here: only a refusal was checked for the id that servers repeat in all their answers; a copy without it was passed on. Evidence: platform_process_test "An answer that a server writes once more" failed 16 of 97 checks (both methods, copies without id); copies with an id were told apart before. Now such an answer counts as broken, and the connection is not used again; the test passes with the seven others of that program.

--- a/src/shell/backend_client.cpp
+++ b/src/shell/backend_client.cpp
@@ -105,8 +105,8 @@
     const bool statusMatches = !pending.shedStatus || response.status == pending.shedStatus;
     const bool refuses = event.misdirected || (statusMatches && hasHeader(response, pending.shedHeader));
     const bool incomplete = !m_conventions.completionHeader.empty() && response.status < FIRST_REDIRECT_STATUS && !hasHeader(response, m_conventions.completionHeader);
-    // A refusal promises that the request has not run. Without the request's id it may be that of another request.
-    const bool unattributed = refuses && pending.expectsEcho && !result.echoed;
+    // Without the request's id a response may be that of another request, written once more.
+    const bool unattributed = pending.expectsEcho && !result.echoed;
     if (unattributed || (incomplete && !refuses)) {
         event.result = TryResult::Broken;
         event.response = nullptr;
--- a/tests/platform_process_test.cpp
+++ b/tests/platform_process_test.cpp
@@ -201,6 +201,32 @@
     }
 }
 
+TEST_CASE("An answer that a server writes once more, on a connection in use again, reaches no other caller")
+{
+    for (const char* mode : { "1", "2" }) {
+        for (const char* method : { "GET", "POST" }) {
+            CAPTURE(mode, method);
+            Scenario scenario(1, { "s0" });
+            scenario.send("i0", "GET", "/safe/first");
+            scenario.fleet.controlServer("s0", std::string("repeat_answer=") + mode);
+            int served = 0;
+            for (int i = 0; i < 8; ++i) {
+                const std::string target = std::string(method[0] == 'G' ? "/safe/" : "/unsafe/") + "copy-" + std::to_string(i) + "-";
+                const auto response = scenario.send("i0", method, target);
+                REQUIRE(response);
+                CAPTURE(target, response->status(), response->body);
+                if (response->status() == 200)
+                    CHECK(response->body.find(target) != std::string::npos);
+                served += response->status() == 200;
+                CHECK(scenario.fleet.countRuns(std::string(method) + " " + target) <= (method[0] == 'P' ? 1 : 2));
+            }
+            // A copy with its request id is told apart, so the caller's own answer follows.
+            if (mode[0] == '1' && method[0] == 'G')
+                CHECK(served == 8);
+        }
+    }
+}
+
 TEST_CASE("A response whose head breaks off is never passed on as complete")
 {
     Scenario scenario(1, { "s0" });
--- a/tests/standin/server.cpp
+++ b/tests/standin/server.cpp
@@ -110,7 +110,7 @@
                 --m_running;
                 return refuse(request, socket, headers);
             }
-            if (!writeEarlierRefusal(request, socket)) {
+            if (!writeEarlierResponses(socket)) {
                 --m_running;
                 return false;
             }
@@ -152,7 +152,7 @@
             }
         }
 
-        // Sheds the request and keeps the refusal, which `writeEarlierRefusal` may write once more.
+        // Sheds the request and keeps the refusal, which `writeEarlierResponses` may write once more.
         bool refuse(const Message& request, const Socket& socket, std::map<std::string, std::string> headers)
         {
             headers["X-Shed"] = "1";
@@ -164,18 +164,24 @@
             return writeAll(socket, refusal);
         }
 
-        // With `repeat_refusal=1` writes the last refusal before the response, with `repeat_refusal=2` without its request id.
-        bool writeEarlierRefusal(const Message&, const Socket& socket)
+        // Writes the last refusal and the last answer once more, as `repeat_refusal` and `repeat_answer` say.
+        bool writeEarlierResponses(const Socket& socket)
         {
-            const int mode = setting("repeat_refusal");
+            const int refusal = setting("repeat_refusal");
+            const int answer = setting("repeat_answer");
             const std::lock_guard lock(m_mutex);
-            if (!mode || m_earlierRefusal.empty())
+            return writeCopy(m_earlierRefusal, refusal, socket) && writeCopy(m_earlierAnswer, answer, socket);
+        }
+
+        // Writes a copy of a response: none in mode 0, with its request id in mode 1, without it in mode 2.
+        static bool writeCopy(std::string response, int mode, const Socket& socket)
+        {
+            if (!mode || response.empty())
                 return true;
-            std::string refusal = m_earlierRefusal;
-            const auto id = refusal.find("Request-Id: ");
+            const auto id = response.find("Request-Id: ");
             if (mode == 2 && id != std::string::npos)
-                refusal.erase(id, refusal.find("\r\n", id) + 2 - id);
-            return writeAll(socket, refusal);
+                response.erase(id, response.find("\r\n", id) + 2 - id);
+            return writeAll(socket, response);
         }
 
         // Returns the service time in percent of the normal one: `cold_factor` until `cold_ms` after the start, then 100.
@@ -216,6 +222,10 @@
                 writeAll(socket, response.substr(0, static_cast<std::size_t>(bytes > 0 ? std::min(bytes, headLength) : headLength + bytes)));
                 return false;
             }
+            {
+                const std::lock_guard lock(m_mutex);
+                m_earlierAnswer = response;
+            }
             return writeAll(socket, response);
         }
 
@@ -286,6 +296,7 @@
         std::string m_record;
         std::string m_deadlines;
         std::string m_earlierRefusal;
+        std::string m_earlierAnswer;
     };
 
 } // namespace
--- a/tests/standin/standin.h
+++ b/tests/standin/standin.h
@@ -39,7 +39,8 @@
 ///   `truncate_percent`, `mismatch_percent` (wrong `Cornelwind-Try` in the response) and `close_before_answer_percent`.
 ///   `service_ms` is the service time, `slow_factor` a factor on it in percent, and `cold_factor` a further one that applies
 ///   until `cold_ms` after the start. `draining=1` adds `X-Draining` to responses, and `extra_headers` others, as `NAME: VALUE`
-///   separated by `|`. `repeat_refusal=1` writes the last refusal once more before each response, 2 without its request id.
+///   separated by `|`. `repeat_refusal=1` writes the last refusal once more before each response, 2 without its request id;
+///   `repeat_answer` does the same with the last answer.
 ///   `close_in_head_bytes` closes the connection after so many bytes of the head of a response, or before its last ones if
 ///   negative. The other keys are `connection_limit`,
 ///   `idle_close_ms`, `health_status`, `health_silent` and `shown_load`.
