Log when an instance starts or stops watching the platform, and the zone's last contact

New decision watch-changed (which instance of the zone reached the platform last, and when), a line for a call that is cancelled without an answer, gauges cornelwind_watching and cornelwind_zone_contact_age_seconds, zone_contact_age_ms in status. No decision is changed.

--- a/include/cornelwind/decision.h
+++ b/include/cornelwind/decision.h
@@ -58,10 +58,12 @@
     ServerAdded,
     /// The entry of a backend server cannot be used: it is malformed or out of bounds.
     EntryInvalid,
+    /// This entry instance starts or stops watching the platform for its availability zone.
+    WatchChanged,
 };
 
 /// Number of values of `DecisionKind`.
-inline constexpr std::size_t DECISION_KINDS = 24;
+inline constexpr std::size_t DECISION_KINDS = 25;
 
 /// @return the name used in logs, metrics and explanations
 const char* toString(DecisionKind);
--- a/include/cornelwind/reducer.h
+++ b/include/cornelwind/reducer.h
@@ -80,6 +80,8 @@
     Duration sheetAge {};
     /// Time since the platform last answered.
     Duration platformAge {};
+    /// Time since an entry instance of the availability zone last reached the platform, as far as is known here.
+    Duration zoneContactAge {};
     /// Requests in progress.
     std::size_t requests = 0;
     /// Used idempotency keys remembered.
--- a/src/decision/gossip.cpp
+++ b/src/decision/gossip.cpp
@@ -296,16 +296,22 @@
     announce(context);
 }
 
-bool Gossip::shouldWatch(Time now) const
+ZoneContact Gossip::latestZoneContact(Time now) const
 {
-    std::size_t membersBefore = 0;
-    Duration smallestAge = platformAge(now);
+    ZoneContact latest { m_identity.name, platformAge(now) };
     for (const auto& [name, member] : m_members.records()) {
-        if (member.zone != m_identity.zone || member.state != MemberState::Alive)
-            continue;
-        membersBefore += name < m_identity.name;
-        smallestAge = std::min(smallestAge, member.platformAgeNow(now));
+        if (member.zone == m_identity.zone && member.state == MemberState::Alive && member.platformAgeNow(now) < latest.age)
+            latest = { name, member.platformAgeNow(now) };
     }
+    return latest;
+}
+
+bool Gossip::shouldWatch(Time now) const
+{
+    std::size_t membersBefore = 0;
+    for (const auto& [name, member] : m_members.records())
+        membersBefore += member.zone == m_identity.zone && member.state == MemberState::Alive && name < m_identity.name;
+    const Duration smallestAge = latestZoneContact(now).age;
     const auto takeoverOrder = static_cast<std::int64_t>(membersBefore / WATCHERS_PER_ZONE);
     // Members report an open watch as age zero and its end at once, so shorter times suffice here.
     if (m_identity.platformIsCurrent)
--- a/src/decision/gossip.h
+++ b/src/decision/gossip.h
@@ -18,6 +18,13 @@
     class PingRequest;
 }
 
+/// The most recent contact of an availability zone with the platform.
+struct ZoneContact {
+    InstanceName instance;
+    /// Time since it reached the platform; zero while its watch is open.
+    Duration age {};
+};
+
 /// Detects which members answer, and spreads member changes and the version of the sheet with the pings.
 ///
 /// Each round sends at most `PROBES_PER_ROUND` pings with a bounded number of
@@ -82,6 +89,8 @@
     /// @return whether this entry instance should watch the platform: it is among the first `WATCHERS_PER_ZONE` of
     ///     its availability zone by name, or no member of the zone has reached the platform for too long
     bool shouldWatch(Time now) const;
+    /// @return the member of the availability zone, or this entry instance, that reached the platform last
+    ZoneContact latestZoneContact(Time now) const;
     /// @return whether the start is complete: each entry instance that the platform lists has been heard of, or
     ///     the platform is always current, or the time to wait for them is over
     bool joined(Time now) const;
--- a/src/decision/reducer_state.cpp
+++ b/src/decision/reducer_state.cpp
@@ -275,11 +275,21 @@
     const Millis refresh = std::max<Millis>(MIN_LIST_REFRESH, LIST_REFRESH_PER_INSTANCE * (1 + m_members.liveCount()));
     if (watch == m_watching && refresh == m_listRefresh)
         return;
+    if (watch != m_watching)
+        reportWatch(watch, context);
     m_watching = watch;
     m_listRefresh = refresh;
     context.emit(WatchPlatform { watch, refresh });
 }
 
+void Reducer::State::reportWatch(bool watch, Context& context) const
+{
+    const ZoneContact latest = m_gossip.latestZoneContact(context.now());
+    const auto age = std::chrono::duration_cast<Millis>(latest.age);
+    context.report(DecisionKind::WatchChanged, "platform", watch ? "this instance starts to watch it" : "this instance stops watching it",
+        "last contact of the zone " + std::to_string(age.count()) + " ms ago by " + latest.instance.value());
+}
+
 // An instance that starts without state waits for its peers first: a platform with stale values could otherwise
 // bring an old sheet into force.
 void Reducer::State::updateReady(Context& context)
@@ -302,6 +312,7 @@
     status.stopping = m_drain.stopping();
     status.watching = m_watching;
     status.platformAge = m_gossip.platformAge(now);
+    status.zoneContactAge = m_gossip.latestZoneContact(now).age;
     status.requests = m_flow.size();
     status.keys = m_keys.size();
     for (const auto& [name, member] : m_members.records())
--- a/src/decision/reducer_state.h
+++ b/src/decision/reducer_state.h
@@ -64,6 +64,7 @@
     void applyServerList(const peer::ServersReply& reply, Context& context);
     void sendSheet(const MemberRecord& to, Context& context);
     void updateWatch(Context& context);
+    void reportWatch(bool watch, Context& context) const;
     void updateReady(Context& context);
 
     KeyRegistry m_keys;
--- a/src/shell/admin_handler.cpp
+++ b/src/shell/admin_handler.cpp
@@ -76,6 +76,7 @@
             { "sheet_version", status.sheet.value() },
             { "sheet_age_ms", toMillis(status.sheetAge) },
             { "platform_age_ms", toMillis(status.platformAge) },
+            { "zone_contact_age_ms", toMillis(status.zoneContactAge) },
             { "requests", status.requests },
             { "keys", status.keys },
             { "servers", std::move(servers) },
--- a/src/shell/metadata_store_watcher.cpp
+++ b/src/shell/metadata_store_watcher.cpp
@@ -52,6 +52,8 @@
         return call();
     if (enabled || m_state != State::Watch || m_suspended)
         return;
+    if (m_callInProgress)
+        logMessage(LogLevel::Info, LogComponent::Platform, "Watch of the metadata store ended; its call of " + std::to_string(std::chrono::duration_cast<Millis>(steadyNow() - m_calledAt).count()) + " ms ago had no answer yet.");
     m_store->cancel(m_call);
     m_timer.cancel();
     suspend();
@@ -86,6 +88,8 @@
     if (m_state == State::Watch && !m_watchEnabled)
         return suspend();
     m_suspended = false;
+    m_callInProgress = true;
+    m_calledAt = steadyNow();
     ++m_calls;
     const auto handler = [this, callNumber = ++m_callNumber](const StoreReply& reply) { onReply(callNumber, reply); };
     switch (m_state) {
@@ -106,6 +110,7 @@
     // A later call has replaced the one that this reply belongs to.
     if (callNumber != m_callNumber)
         return;
+    m_callInProgress = false;
     if (reply.status == StoreStatus::HistoryGone) {
         logMessage(LogLevel::Warn, LogComponent::Platform, "Metadata store no longer holds the history from revision " + std::to_string(m_revision.value()) + "; reading all values again.");
         restartFromFullRead();
--- a/src/shell/metadata_store_watcher.h
+++ b/src/shell/metadata_store_watcher.h
@@ -73,6 +73,8 @@
     bool m_watchEnabled = false;
     /// No call is in progress and none is scheduled.
     bool m_suspended = false;
+    bool m_callInProgress = false;
+    Time m_calledAt;
     /// Failed calls in a row.
     std::uint32_t m_failures = 0;
     std::uint64_t m_calls = 0;
--- a/src/shell/metrics.cpp
+++ b/src/shell/metrics.cpp
@@ -106,6 +106,8 @@
         families.gauge("cornelwind_sheet_version", "Version of the routing configuration (sheet) in use.", static_cast<double>(status.sheet.value()));
         families.gauge("cornelwind_sheet_age_seconds", "Time since this instance adopted the routing configuration (sheet), in seconds.", seconds(status.sheetAge));
         families.gauge("cornelwind_platform_age_seconds", "Time since the last response of the platform, in seconds.", seconds(status.platformAge));
+        families.gauge("cornelwind_watching", "1 if this instance watches the platform for its availability zone, else 0.", status.watching);
+        families.gauge("cornelwind_zone_contact_age_seconds", "Time since an instance of the availability zone last reached the platform, in seconds.", seconds(status.zoneContactAge));
         families.gauge("cornelwind_requests_in_progress", "Requests currently in progress.", static_cast<double>(status.requests));
         families.gauge("cornelwind_keys_used", "Idempotency keys currently stored.", static_cast<double>(status.keys));
         MetricFamily& scores = families.family("cornelwind_server_score", "Evidence that a backend server is unhealthy (log-likelihood ratio), in nats.", MetricType::Gauge);
