--- a/src/shell/commands.cpp
+++ b/src/shell/commands.cpp
@@ -12,6 +12,7 @@
 #include "platform/store_client.h"
 #include "platform/values.h"
 #include "platform_poller.h"
+#include "random_bits.h"
 #include "request_timeline.h"
 
 #include <array>
@@ -83,7 +84,7 @@
 
     std::unique_ptr<PlatformSource> makeMetadataStoreWatcher(boost::asio::io_context& io, HttpClient& client, const Endpoint& address, PlatformSource::Handler handler)
     {
-        return std::make_unique<MetadataStoreWatcher>(io, std::make_unique<platform::StoreClient>(client, address), std::move(handler));
+        return std::make_unique<MetadataStoreWatcher>(std::make_unique<AsioTimer>(io), std::make_unique<platform::StoreClient>(client, address), std::move(handler), randomBits);
     }
 
     PlatformAdapter makePlatformAdapter(const Settings& settings, const std::string& path)
--- a/src/shell/metadata_store_watcher.cpp
+++ b/src/shell/metadata_store_watcher.cpp
@@ -1,7 +1,6 @@
 #include "metadata_store_watcher.h"
 
 #include "log.h"
-#include "random_bits.h"
 
 #include <algorithm>
 #include <array>
@@ -18,12 +17,6 @@
     constexpr Millis MAX_BACKOFF { 1200 };
     constexpr std::uint32_t MAX_BACKOFF_DOUBLINGS = 3;
 
-    /// @return a random delay between half and all of `delay`, so that entry instances do not call in synchrony
-    Duration addJitter(Duration delay)
-    {
-        return delay / 2 + Duration { static_cast<std::int64_t>(randomBits() % static_cast<std::uint64_t>(delay.count() / 2 + 1)) };
-    }
-
 } // namespace
 
 const char* toString(StoreStatus status)
@@ -32,10 +25,11 @@
     return names.at(static_cast<std::size_t>(status));
 }
 
-MetadataStoreWatcher::MetadataStoreWatcher(boost::asio::io_context& io, std::unique_ptr<MetadataStore> store, Handler handler)
+MetadataStoreWatcher::MetadataStoreWatcher(std::unique_ptr<OneShotTimer> timer, std::unique_ptr<MetadataStore> store, Handler handler, RandomSource random)
     : m_store(std::move(store))
     , m_handler(std::move(handler))
-    , m_timer(io)
+    , m_random(std::move(random))
+    , m_timer(std::move(timer))
 {
 }
 
@@ -55,7 +49,7 @@
     if (m_callInProgress)
         logMessage(LogLevel::Info, LogComponent::Platform, "Watch of the metadata store ended; its call of " + std::to_string(std::chrono::duration_cast<Millis>(steadyNow() - m_calledAt).count()) + " ms ago had no answer yet.");
     m_store->cancel(m_call);
-    m_timer.cancel();
+    m_timer->cancel();
     suspend();
 }
 
@@ -71,7 +65,7 @@
 {
     if (m_state != State::Watch || m_failures || m_suspended)
         return;
-    m_timer.cancel();
+    m_timer->cancel();
     m_store->cancel(m_call);
     call();
 }
@@ -137,11 +131,12 @@
 
 void MetadataStoreWatcher::scheduleCall(Duration delay)
 {
-    m_timer.expires_after(delay);
-    m_timer.async_wait([this](boost::system::error_code error) {
-        if (!error)
-            call();
-    });
+    m_timer->start(delay, [this] { call(); });
+}
+
+Duration MetadataStoreWatcher::addJitter(Duration delay) const
+{
+    return delay / 2 + Duration { static_cast<std::int64_t>(m_random() % static_cast<std::uint64_t>(delay.count() / 2 + 1)) };
 }
 
 void MetadataStoreWatcher::onSheetRead(const StoreReply& reply)
--- a/src/shell/metadata_store_watcher.h
+++ b/src/shell/metadata_store_watcher.h
@@ -1,11 +1,10 @@
 #pragma once
 
 #include "metadata_store.h"
+#include "one_shot_timer.h"
 #include "platform_source.h"
 
-#include <boost/asio/io_context.hpp>
-#include <boost/asio/steady_timer.hpp>
-
+#include <functional>
 #include <memory>
 #include <string>
 #include <vector>
@@ -20,10 +19,14 @@
 /// most 150 ms, later after at most 1.2 s.
 class MetadataStoreWatcher final : public PlatformSource {
 public:
-    /// @param io runs the timer; must outlive this object
+    /// @return uniformly distributed bits
+    using RandomSource = std::function<std::uint64_t()>;
+
+    /// @param timer runs the retries
     /// @param store the metadata store to follow
     /// @param handler receives the events
-    MetadataStoreWatcher(boost::asio::io_context& io, std::unique_ptr<MetadataStore> store, Handler handler);
+    /// @param random source of the jitter
+    MetadataStoreWatcher(std::unique_ptr<OneShotTimer> timer, std::unique_ptr<MetadataStore> store, Handler handler, RandomSource random);
 
     void start() override;
 
@@ -55,12 +58,15 @@
     /// Resets the state so that the next call starts to read all values again.
     void restartFromFullRead();
     void scheduleCall(Duration delay);
+    /// @return a random delay between half and all of `delay`, so that entry instances do not call in synchrony
+    Duration addJitter(Duration delay) const;
     /// Makes no calls until watching is enabled again, and ignores a reply that is still to come.
     void suspend();
 
     std::unique_ptr<MetadataStore> m_store;
     Handler m_handler;
-    boost::asio::steady_timer m_timer;
+    RandomSource m_random;
+    std::unique_ptr<OneShotTimer> m_timer;
     State m_state = State::ReadSheet;
     CallId m_call = 0;
     /// Number of the latest call; replies to earlier ones are ignored.
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -4,6 +4,7 @@
 #include "platform/adapter.h"
 #include "platform/notice.h"
 #include "platform/values.h"
+#include "random_bits.h"
 #include "request_table.h"
 
 #include <catch2/catch.hpp>
@@ -58,7 +59,7 @@
 class WatcherFixture {
 public:
     WatcherFixture()
-        : m_watcher(m_io, std::make_unique<ScriptedStore>(m_calls), [this](EventBody body) { events.push_back(std::move(body)); })
+        : m_watcher(std::make_unique<AsioTimer>(m_io), std::make_unique<ScriptedStore>(m_calls), [this](EventBody body) { events.push_back(std::move(body)); }, randomBits)
     {
         m_watcher.start();
         m_watcher.watch(true, Millis { 0 });
