Test that fails: the only instance that the store answers does not follow it

Callers saw a confirmed change that was not in force in time (CONFIG) and requests at servers that leave (DRAIN). store_contact_test plays 13, 53 and 118 reducers with their real watchers in simulated time; the store rejects or ignores all instances but one.

--- /dev/null
+++ b/tests/store_contact_test.cpp
@@ -0,0 +1,103 @@
+// Tests of entry instances that follow the platform's store while it rejects others, in simulated time.
+#include "support/simulated_store_fleet.h"
+
+#include <catch2/catch.hpp>
+
+#include <string>
+#include <vector>
+
+using namespace cornelwind;
+using namespace cornelwind::test;
+
+namespace {
+
+/// Number and time limits of the instances of a deployment.
+struct Deployment {
+    std::size_t instances;
+    std::size_t zones;
+    /// Time within which an instance that reaches the store has to follow a change.
+    Millis bound;
+    /// Instances tested as the one that reaches the store.
+    std::vector<std::size_t> reachers;
+};
+
+const Deployment DEPLOYMENTS[] = {
+    { 13, 4, Millis { 2000 }, { 0, 4, 5, 8, 11, 12 } },
+    { 53, 5, Millis { 2500 }, { 2, 16, 31, 52 } },
+    { 118, 5, Millis { 3000 }, { 60, 117 } },
+};
+
+const StoreAccess OUTAGES[] = { StoreAccess::Refused, StoreAccess::Silent };
+
+constexpr Millis START_TIME { 4000 };
+// Time in which members that hear each other agree, see docs/design/published-servers.md.
+constexpr Millis AGREEMENT_TIME { 1200 };
+
+void publishChanges(SimulatedStoreFleet& fleet, int number)
+{
+    fleet.publishSheet();
+    fleet.publishServer("s" + std::to_string(number), true);
+    fleet.publishServer("new" + std::to_string(number), false);
+}
+
+std::vector<std::size_t> outdated(const SimulatedStoreFleet& fleet)
+{
+    std::vector<std::size_t> found;
+    for (std::size_t i = 0; i < fleet.size(); ++i) {
+        if (!fleet.isUpToDate(i))
+            found.push_back(i);
+    }
+    return found;
+}
+
+/// Calls `check` for each deployment, kind of outage and reacher.
+template <typename Check>
+void forEachCase(const Check& check)
+{
+    for (const Deployment& deployment : DEPLOYMENTS) {
+        for (const StoreAccess outage : OUTAGES) {
+            for (const std::size_t reacher : deployment.reachers) {
+                CAPTURE(deployment.instances, outage == StoreAccess::Silent, reacher);
+                SimulatedStoreFleet fleet(deployment.instances, deployment.zones, 7);
+                fleet.run(START_TIME);
+                REQUIRE(outdated(fleet).empty());
+                check(fleet, deployment, outage, reacher);
+            }
+        }
+    }
+}
+
+void rejectAllBut(SimulatedStoreFleet& fleet, std::size_t reacher, StoreAccess outage)
+{
+    for (std::size_t i = 0; i < fleet.size(); ++i) {
+        if (i != reacher)
+            fleet.setAccess(i, outage);
+    }
+}
+
+} // namespace
+
+TEST_CASE("The only instance that reaches the store follows each change in time, and the others follow it")
+{
+    for (const Millis delay : { Millis { 30 }, Millis { 1000 } }) {
+        CAPTURE(delay.count());
+        forEachCase([&](SimulatedStoreFleet& fleet, const Deployment& deployment, StoreAccess outage, std::size_t reacher) {
+            rejectAllBut(fleet, reacher, outage);
+            fleet.run(delay);
+            for (int number = 0; number < 2; ++number) {
+                publishChanges(fleet, number);
+                fleet.run(deployment.bound);
+                CHECK(fleet.isUpToDate(reacher));
+                fleet.run(AGREEMENT_TIME);
+                CHECK(outdated(fleet) == std::vector<std::size_t> {});
+            }
+            fleet.removeServer("s2");
+            fleet.run(deployment.bound);
+            CHECK(fleet.isUpToDate(reacher));
+            fleet.setAccessOfAll(StoreAccess::Served);
+            publishChanges(fleet, 3);
+            fleet.run(Millis { 5000 });
+            CHECK(outdated(fleet) == std::vector<std::size_t> {});
+        });
+    }
+}
--- /dev/null
+++ b/tests/support/simulated_store_fleet.cpp
@@ -0,0 +1,493 @@
+#include "support/simulated_store_fleet.h"
+
+#include "cornelwind/reducer.h"
+#include "metadata_store_watcher.h"
+#include "peer.pb.h"
+
+#include <algorithm>
+#include <cstdio>
+#include <functional>
+#include <map>
+#include <optional>
+#include <queue>
+#include <random>
+#include <set>
+#include <utility>
+#include <vector>
+
+namespace cornelwind::test {
+namespace {
+
+    constexpr Duration TICK = std::chrono::milliseconds(10);
+    // One way, within an availability zone and between two.
+    constexpr Duration ZONE_DELAY = std::chrono::microseconds(200);
+    constexpr Duration REMOTE_DELAY = std::chrono::microseconds(1400);
+    // To the store with a new connection, and back with the time that the store takes.
+    constexpr Duration CALL_DELAY = std::chrono::milliseconds(5);
+    constexpr Duration ANSWER_DELAY = std::chrono::milliseconds(7);
+    constexpr Duration CALL_TIMEOUT = std::chrono::milliseconds(1500);
+    constexpr std::size_t SEEDS = 3;
+
+    /// What happens in the course of time, in order.
+    class Schedule {
+    public:
+        Time now() const { return m_now; }
+
+        void add(Duration after, std::function<void()> action) { m_events.push({ m_now + after, ++m_sequence, std::move(action) }); }
+
+        void run(Duration time)
+        {
+            const Time end = m_now + time;
+            while (!m_events.empty() && m_events.top().at <= end) {
+                const ScheduledEvent next = m_events.top();
+                m_events.pop();
+                m_now = next.at;
+                next.action();
+            }
+            m_now = end;
+        }
+
+    private:
+        struct ScheduledEvent {
+            Time at;
+            std::uint64_t sequence;
+            std::function<void()> action;
+
+            bool operator<(const ScheduledEvent& other) const { return at != other.at ? at > other.at : sequence > other.sequence; }
+        };
+
+        Time m_now { std::chrono::seconds(100) };
+        std::uint64_t m_sequence = 0;
+        std::priority_queue<ScheduledEvent> m_events;
+    };
+
+    /// A timer in simulated time.
+    class SimulatedTimer final : public OneShotTimer {
+    public:
+        explicit SimulatedTimer(Schedule& schedule)
+            : m_schedule(schedule)
+        {
+        }
+
+        void start(Duration delay, std::function<void()> action) override
+        {
+            m_schedule.add(delay, [started = *m_started + 1, current = m_started, action = std::move(action)] {
+                if (*current == started)
+                    action();
+            });
+            ++*m_started;
+        }
+
+        void cancel() override { ++*m_started; }
+
+    private:
+        Schedule& m_schedule;
+        /// Number of starts and cancellations; actions of earlier ones are dropped.
+        std::shared_ptr<std::uint64_t> m_started = std::make_shared<std::uint64_t>(0);
+    };
+
+    /// The data of the store and the calls that wait for changes.
+    class Store {
+    public:
+        using Handler = MetadataStore::Handler;
+
+        explicit Store(Schedule& schedule)
+            : m_schedule(schedule)
+        {
+        }
+
+        void write(StoreChange change)
+        {
+            change.revision = StoreRevision { ++m_revision };
+            if (change.sheet)
+                m_sheet = *change.sheet;
+            if (change.server) {
+                change.server->revision = change.revision;
+                if (change.server->server)
+                    m_servers[change.server->name] = *change.server;
+                else
+                    m_servers.erase(change.server->name);
+            }
+            m_history.push_back(std::move(change));
+            for (Waiting& waiting : std::exchange(m_waiting, {}))
+                answer(waiting.handler, changesAfter(waiting.after));
+        }
+
+        void readSheet(const Handler& handler)
+        {
+            StoreReply reply = makeReply();
+            reply.changes.push_back({ reply.revision, m_sheet, {} });
+            answer(handler, std::move(reply));
+        }
+
+        void readServers(const Handler& handler)
+        {
+            StoreReply reply = makeReply();
+            for (const auto& [name, change] : m_servers)
+                reply.changes.push_back({ change.revision, {}, change });
+            answer(handler, std::move(reply));
+        }
+
+        void watch(std::size_t instance, StoreRevision after, Duration wait, const Handler& handler)
+        {
+            if (after.value() < m_revision || wait <= Duration {})
+                return answer(handler, changesAfter(after));
+            const std::uint64_t number = ++m_lastWaiting;
+            m_waiting.push_back({ instance, number, after, handler });
+            m_schedule.add(wait, [this, number] {
+                const auto found = std::find_if(m_waiting.begin(), m_waiting.end(), [&](const Waiting& waiting) { return waiting.number == number; });
+                if (found == m_waiting.end())
+                    return;
+                answer(found->handler, changesAfter(found->after));
+                m_waiting.erase(found);
+            });
+        }
+
+        /// Drops the waiting calls of an instance.
+        ///
+        /// @param cut whether the instance notices
+        void drop(std::size_t instance, bool cut)
+        {
+            std::erase_if(m_waiting, [&](const Waiting& waiting) {
+                if (waiting.instance == instance && cut)
+                    answer(waiting.handler, {});
+                return waiting.instance == instance;
+            });
+        }
+
+        void answer(const Handler& handler, StoreReply reply)
+        {
+            m_schedule.add(ANSWER_DELAY, [handler, reply = std::move(reply)] { handler(reply); });
+        }
+
+        const std::string& sheet() const { return m_sheet; }
+        const std::map<ServerName, ServerChange>& servers() const { return m_servers; }
+
+    private:
+        struct Waiting {
+            std::size_t instance;
+            std::uint64_t number;
+            StoreRevision after;
+            Handler handler;
+        };
+
+        StoreReply makeReply() const
+        {
+            StoreReply reply;
+            reply.status = StoreStatus::Ok;
+            reply.revision = StoreRevision { m_revision };
+            return reply;
+        }
+
+        StoreReply changesAfter(StoreRevision after) const
+        {
+            StoreReply reply = makeReply();
+            std::copy_if(m_history.begin(), m_history.end(), std::back_inserter(reply.changes), [&](const StoreChange& change) { return change.revision > after; });
+            return reply;
+        }
+
+        Schedule& m_schedule;
+        std::uint64_t m_revision = 0;
+        std::string m_sheet;
+        std::map<ServerName, ServerChange> m_servers;
+        std::vector<StoreChange> m_history;
+        std::vector<Waiting> m_waiting;
+        std::uint64_t m_lastWaiting = 0;
+    };
+
+    Sheet makeSheet(std::uint64_t version)
+    {
+        Sheet sheet;
+        sheet.version = SheetVersion { version };
+        SheetService service;
+        service.name = ServiceName { "orders" };
+        service.placement = Placement::ExpectedCost;
+        sheet.services.push_back(service);
+        SheetRule rule;
+        rule.name = "order";
+        rule.path = "/";
+        rule.key = KeyMode::None;
+        sheet.rules.push_back(rule);
+        return sheet;
+    }
+
+} // namespace
+
+class SimulatedStoreFleet::Play {
+public:
+    Play(std::size_t instances, std::size_t zones, std::uint64_t seed)
+        : m_random(seed)
+        , m_store(m_schedule)
+        , m_instances(instances)
+        , m_zones(zones)
+    {
+        publishSheet();
+        for (int i = 0; i < 4; ++i)
+            publishServer("s" + std::to_string(i), false);
+        for (std::size_t i = 0; i < instances; ++i) {
+            start(i);
+            m_schedule.add(Duration { static_cast<std::int64_t>(m_random() % static_cast<std::uint64_t>(TICK.count())) }, [this, i] { tick(i); });
+        }
+    }
+
+    void run(Duration time) { m_schedule.run(time); }
+    std::size_t size() const { return m_instances.size(); }
+
+    void setAccess(std::size_t instance, StoreAccess access)
+    {
+        m_instances[instance].access = access;
+        if (access != StoreAccess::Served)
+            m_store.drop(instance, access == StoreAccess::Refused);
+    }
+
+    void setIsolated(std::size_t instance, bool isolated) { m_instances[instance].isolated = isolated; }
+
+    void start(std::size_t index)
+    {
+        Instance& instance = m_instances[index];
+        m_store.drop(index, false);
+        const std::uint64_t incarnation = ++m_lastIncarnation;
+        Settings settings;
+        settings.name = InstanceName { nameOf(index) };
+        settings.zone = ZoneName { "z" + std::to_string(index % m_zones) };
+        settings.peers = addressOf(index);
+        settings.platformForm = PlatformForm::Store;
+        for (std::size_t i = 0; i < std::min(SEEDS, m_instances.size()); ++i)
+            settings.seeds.push_back(addressOf(i));
+        instance.incarnation = incarnation;
+        instance.reducer.emplace(Reducer::Builder()
+                                     .settings(settings)
+                                     .incarnation(Incarnation { incarnation })
+                                     .start(m_schedule.now())
+                                     .sheetReader([](std::string_view text, Reasons&) { return makeSheet(std::stoull(std::string(text))); })
+                                     .build());
+        instance.watcher = std::make_unique<MetadataStoreWatcher>(
+            std::make_unique<SimulatedTimer>(m_schedule), std::make_unique<StoreOf>(*this, index),
+            [this, index, incarnation](EventBody body) {
+                if (m_instances[index].incarnation == incarnation)
+                    apply(index, std::move(body));
+            },
+            [this] { return m_random(); });
+        instance.watcher->start();
+    }
+
+    void publishSheet() { m_store.write({ {}, std::to_string(++m_version), {} }); }
+
+    void publishServer(const std::string& name, bool leaving)
+    {
+        PublishedServer server;
+        server.name = ServerName { name };
+        server.service = ServiceName { "orders" };
+        server.address = { "10.2.0.1", 80 };
+        server.zone = ZoneName { "z0" };
+        server.leaving = leaving;
+        m_store.write({ {}, {}, ServerChange { server.name, server, {} } });
+    }
+
+    void removeServer(const std::string& name) { m_store.write({ {}, {}, ServerChange { ServerName { name }, {}, {} } }); }
+
+    bool isUpToDate(std::size_t index) const
+    {
+        const Status status = m_instances[index].reducer->status(m_schedule.now());
+        std::set<std::string> used;
+        for (const ServerStatus& server : status.servers) {
+            if (server.state == "serving")
+                used.insert(server.name.value());
+        }
+        std::set<std::string> published;
+        for (const auto& [name, change] : m_store.servers()) {
+            if (!change.server->leaving)
+                published.insert(name.value());
+        }
+        return std::to_string(status.sheet.value()) == m_store.sheet() && used == published;
+    }
+
+    std::size_t calls() const { return m_calls; }
+    std::size_t bytesBetweenZones() const { return m_bytesBetweenZones; }
+
+private:
+    struct Instance {
+        StoreAccess access = StoreAccess::Served;
+        bool isolated = false;
+        std::uint64_t incarnation = 0;
+        std::optional<Reducer> reducer;
+        std::unique_ptr<MetadataStoreWatcher> watcher;
+    };
+
+    /// The store as one entry instance reaches it.
+    class StoreOf final : public MetadataStore {
+    public:
+        StoreOf(Play& play, std::size_t instance)
+            : m_play(play)
+            , m_instance(instance)
+        {
+        }
+
+        CallId readSheet(Handler handler) override
+        {
+            return m_play.call(m_instance, {}, std::move(handler), [](Store& store, const Handler& once) { store.readSheet(once); });
+        }
+
+        CallId readServers(const std::string&, Handler handler) override
+        {
+            return m_play.call(m_instance, {}, std::move(handler), [](Store& store, const Handler& once) { store.readServers(once); });
+        }
+
+        CallId watch(StoreRevision after, Millis wait, Handler handler) override
+        {
+            return m_play.call(m_instance, wait, std::move(handler), [=, instance = m_instance](Store& store, const Handler& once) { store.watch(instance, after, wait, once); });
+        }
+
+        // The watcher ignores replies to cancelled calls.
+        void cancel(CallId) override { }
+
+    private:
+        Play& m_play;
+        std::size_t m_instance;
+    };
+
+    CallId call(std::size_t instance, Duration wait, MetadataStore::Handler handler, std::function<void(Store&, const MetadataStore::Handler&)> serve)
+    {
+        ++m_calls;
+        const auto done = std::make_shared<bool>(false);
+        const MetadataStore::Handler once = [done, handler = std::move(handler), this, instance, incarnation = m_instances[instance].incarnation](StoreReply reply) {
+            if (!std::exchange(*done, true) && m_instances[instance].incarnation == incarnation)
+                handler(std::move(reply));
+        };
+        m_schedule.add(wait + CALL_TIMEOUT, [once] { once({}); });
+        m_schedule.add(CALL_DELAY, [this, instance, once, serve = std::move(serve)] {
+            const StoreAccess access = m_instances[instance].access;
+            if (access == StoreAccess::Served)
+                return serve(m_store, once);
+            StoreReply refused;
+            refused.status = StoreStatus::Refused;
+            if (access == StoreAccess::Refused)
+                m_store.answer(once, refused);
+        });
+        return ++m_lastCall;
+    }
+
+    std::string nameOf(std::size_t index) const
+    {
+        char name[16];
+        std::snprintf(name, sizeof name, "i%03zu", index);
+        return name;
+    }
+
+    static Endpoint addressOf(std::size_t index) { return { "10.1.0." + std::to_string(index + 1), 9000 }; }
+
+    void tick(std::size_t index)
+    {
+        apply(index, Tick {});
+        m_schedule.add(TICK, [this, index] { tick(index); });
+    }
+
+    void apply(std::size_t index, EventBody body)
+    {
+        EffectList effects;
+        m_instances[index].reducer->apply({ m_schedule.now(), m_random(), std::move(body) }, effects);
+        for (const Effect& effect : effects)
+            std::visit([&](const auto& what) { handle(index, what); }, effect);
+    }
+
+    template <typename Ignored>
+    void handle(std::size_t, const Ignored&)
+    {
+    }
+
+    void handle(std::size_t index, const WatchPlatform& effect) { m_instances[index].watcher->watch(effect.enabled, effect.listRefresh); }
+    void handle(std::size_t index, const RefreshPublished&) { m_instances[index].watcher->refresh(); }
+
+    void handle(std::size_t from, const SendPeerMessage& effect)
+    {
+        const std::size_t to = std::stoul(effect.address.host.substr(std::string("10.1.0.").size())) - 1;
+        if (m_instances[from].isolated || m_instances[to].isolated)
+            return;
+        const bool sameZone = from % m_zones == to % m_zones;
+        if (!sameZone)
+            m_bytesBetweenZones += effect.message->ByteSizeLong();
+        m_schedule.add(sameZone ? ZONE_DELAY : REMOTE_DELAY,
+            [this, to, message = std::shared_ptr<const peer::Envelope>(effect.message)] { apply(to, PeerMessageReceived { message }); });
+    }
+
+    std::mt19937_64 m_random;
+    Schedule m_schedule;
+    Store m_store;
+    std::vector<Instance> m_instances;
+    std::size_t m_zones;
+    std::uint64_t m_version = 0;
+    std::uint64_t m_lastIncarnation = 0;
+    CallId m_lastCall = 0;
+    std::size_t m_calls = 0;
+    std::size_t m_bytesBetweenZones = 0;
+};
+
+SimulatedStoreFleet::SimulatedStoreFleet(std::size_t instances, std::size_t zones, std::uint64_t seed)
+    : m_play(std::make_unique<Play>(instances, zones, seed))
+{
+}
+
+SimulatedStoreFleet::~SimulatedStoreFleet() = default;
+
+void SimulatedStoreFleet::run(Duration time)
+{
+    m_play->run(time);
+}
+
+std::size_t SimulatedStoreFleet::size() const
+{
+    return m_play->size();
+}
+
+void SimulatedStoreFleet::setAccess(std::size_t instance, StoreAccess access)
+{
+    m_play->setAccess(instance, access);
+}
+
+void SimulatedStoreFleet::setAccessOfAll(StoreAccess access)
+{
+    for (std::size_t i = 0; i < size(); ++i)
+        setAccess(i, access);
+}
+
+void SimulatedStoreFleet::setIsolated(std::size_t instance, bool isolated)
+{
+    m_play->setIsolated(instance, isolated);
+}
+
+void SimulatedStoreFleet::restart(std::size_t instance)
+{
+    m_play->start(instance);
+}
+
+void SimulatedStoreFleet::publishSheet()
+{
+    m_play->publishSheet();
+}
+
+void SimulatedStoreFleet::publishServer(const std::string& name, bool leaving)
+{
+    m_play->publishServer(name, leaving);
+}
+
+void SimulatedStoreFleet::removeServer(const std::string& name)
+{
+    m_play->removeServer(name);
+}
+
+bool SimulatedStoreFleet::isUpToDate(std::size_t instance) const
+{
+    return m_play->isUpToDate(instance);
+}
+
+std::size_t SimulatedStoreFleet::calls() const
+{
+    return m_play->calls();
+}
+
+std::size_t SimulatedStoreFleet::bytesBetweenZones() const
+{
+    return m_play->bytesBetweenZones();
+}
+
+} // namespace cornelwind::test
