Count only answers of the platform as contact, and let each instance without it ask for itself

Cause: an instance that took over claimed an open watch as soon as it had made the call. Its claim was contact for its zone and for itself, so that at the next tick, 10 ms later, it no longer had a reason to watch and cancelled the call. No call that took longer than a tick ever ended, and every claim put the other members of the zone off for another 1.4 s. The class: contact that is claimed, or inherited from others, without an answer; the same in a watch that hung (contact for up to 25 s), in a member that is cut off (its last claim of an open watch held until it was suspected), and in turns of 0.2 s that came after 2 to 4 s in zones of 10 to 24 instances.

Change: PlatformContact. Only an answer counts, with its age. Watchers make calls of one second instead of 25 and tell their zone of each answer; an end of contact is told at once. An instance watches unless two members that sort before it are in contact (1.4 s), so it does not stop because of itself, and all that hear nothing try within 0.2 s. The first call after a pause or a failure does not wait for changes, so that it proves the contact at once. An instance that stops watching leaves its own outage, since members in contact tell of changes from then on.

--- a/src/decision/gossip.cpp
+++ b/src/decision/gossip.cpp
@@ -18,18 +18,6 @@
     constexpr Duration JOIN_TIMEOUT = std::chrono::seconds(2);
     // Minimum time between two requests for a sheet.
     constexpr Duration SHEET_REQUEST_INTERVAL = std::chrono::milliseconds(300);
-    // If no member of an availability zone has reached the platform for this time, another one becomes a watcher.
-    constexpr Duration POLL_STALE_TIME = std::chrono::seconds(4);
-    // Additional wait for each `WATCHERS_PER_ZONE` members of the zone that sort before this entry instance, so that
-    // not all start to watch at once.
-    constexpr Duration POLL_TAKEOVER_STAGGER = std::chrono::seconds(2);
-
-    // Time from the start to the first watch. Other members are known by then, so that not all start to watch.
-    constexpr Duration FIRST_WATCH_DELAY = std::chrono::milliseconds(500);
-    // Replace `POLL_STALE_TIME` and `POLL_TAKEOVER_STAGGER` if the platform is always current. They are shorter because
-    // watchers report at once when their watch closes.
-    constexpr Duration WATCH_STALE_TIME = std::chrono::milliseconds(1200);
-    constexpr Duration WATCH_TAKEOVER_STAGGER = std::chrono::milliseconds(200);
 
     std::uint32_t toMillis(Duration duration)
     {
@@ -43,6 +31,7 @@
     : m_identity(std::move(identity))
     , m_members(members)
     , m_activeSheet(activeSheet)
+    , m_contact(members, m_identity.platformIsCurrent)
 {
     m_members.setIncarnation(m_identity.incarnation);
 }
@@ -52,7 +41,7 @@
     if (!m_started) {
         m_started = true;
         m_start = context.now();
-        m_platformReachedAt = context.now();
+        m_contact.start(m_start);
     }
     checkProbeTimeouts(context);
     m_members.expire(context);
@@ -207,7 +196,7 @@
 {
     for (peer::Member& update : m_members.takeUpdates(UPDATES_PER_MESSAGE))
         *message.add_updates() = std::move(update);
-    message.set_platform_age_ms(toMillis(platformAge(context.now())));
+    message.set_platform_age_ms(toMillis(m_contact.statedAge(context.now())));
     message.set_servers_revision(m_serversRevision.value());
     if (!m_activeSheet.current())
         return;
@@ -254,6 +243,17 @@
     }
 }
 
+void Gossip::announceContact(Context& context)
+{
+    if (m_announcedContact == m_contact.answeredAt())
+        return;
+    m_announcedContact = m_contact.answeredAt();
+    for (const MemberRecord* member : m_members.live()) {
+        if (member->zone == m_identity.zone)
+            send(*member, makePing(++m_sequence, context), context);
+    }
+}
+
 void Gossip::send(const MemberRecord& to, std::shared_ptr<peer::Envelope> message, Context& context)
 {
     setSender(*message);
@@ -281,42 +281,10 @@
     self.set_state(static_cast<std::uint32_t>(m_leaving ? MemberState::Leaving : MemberState::Alive));
 }
 
-void Gossip::platformAnswered(Time now)
-{
-    m_platformReachedAt = now;
-}
-
-void Gossip::setWatchOpen(bool watchIsOpen, Context& context)
-{
-    if (watchIsOpen == m_hasOpenWatch)
-        return;
-    m_hasOpenWatch = watchIsOpen;
-    // 1 ms ago, since an age of zero would mean an open watch.
-    m_platformReachedAt = context.now() - Millis { 1 };
-    announce(context);
-}
-
-ZoneContact Gossip::latestZoneContact(Time now) const
-{
-    ZoneContact latest { m_identity.name, platformAge(now) };
-    for (const auto& [name, member] : m_members.records()) {
-        if (member.zone == m_identity.zone && member.state == MemberState::Alive && member.platformAgeNow(now) < latest.age)
-            latest = { name, member.platformAgeNow(now) };
-    }
-    return latest;
-}
-
-bool Gossip::shouldWatch(Time now) const
+void Gossip::platformUnreachable(Context& context)
 {
-    std::size_t membersBefore = 0;
-    for (const auto& [name, member] : m_members.records())
-        membersBefore += member.zone == m_identity.zone && member.state == MemberState::Alive && name < m_identity.name;
-    const Duration smallestAge = latestZoneContact(now).age;
-    const auto takeoverOrder = static_cast<std::int64_t>(membersBefore / WATCHERS_PER_ZONE);
-    // Members report an open watch as age zero and its end at once, so shorter times suffice here.
-    if (m_identity.platformIsCurrent)
-        return m_started && now - m_start >= FIRST_WATCH_DELAY && (!takeoverOrder || smallestAge > WATCH_STALE_TIME + takeoverOrder * WATCH_TAKEOVER_STAGGER);
-    return !takeoverOrder || smallestAge > POLL_STALE_TIME + takeoverOrder * POLL_TAKEOVER_STAGGER;
+    if (m_contact.onUnreachable(context.now()))
+        announce(context);
 }
 
 bool Gossip::joined(Time now) const
--- a/src/decision/gossip.h
+++ b/src/decision/gossip.h
@@ -3,9 +3,11 @@
 #include "active_sheet.h"
 #include "context.h"
 #include "member_table.h"
+#include "platform_contact.h"
 
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -18,13 +20,6 @@
     class PingRequest;
 }
 
-/// The most recent contact of an availability zone with the platform.
-struct ZoneContact {
-    InstanceName instance;
-    /// Time since it reached the platform; zero while its watch is open.
-    Duration age {};
-};
-
 /// Detects which members answer, and spreads member changes and the version of the sheet with the pings.
 ///
 /// Each round sends at most `PROBES_PER_ROUND` pings with a bounded number of
@@ -67,6 +62,8 @@
 
     /// Pings many members at once, so that a new sheet or state of this entry instance spreads without delay.
     void announce(Context& context);
+    /// Tells the availability zone of an answer of the platform, if there was one since the last call.
+    void announceContact(Context& context);
 
     /// Sets the revision of the published servers that messages state from now on.
     void setServersRevision(StoreRevision revision) { m_serversRevision = revision; }
@@ -81,22 +78,14 @@
     bool leaving() const { return m_leaving; }
 
     /// Records that the platform answered at `now`.
-    void platformAnswered(Time now);
-    /// Records whether this entry instance has an open watch on the platform, and announces a change.
-    ///
-    /// @param watchIsOpen whether a call that waits for changes is open there
-    void setWatchOpen(bool watchIsOpen, Context& context);
-    /// @return whether this entry instance should watch the platform: it is among the first `WATCHERS_PER_ZONE` of
-    ///     its availability zone by name, or no member of the zone has reached the platform for too long
-    bool shouldWatch(Time now) const;
-    /// @return the member of the availability zone, or this entry instance, that reached the platform last
-    ZoneContact latestZoneContact(Time now) const;
+    void platformAnswered(Time now) { m_contact.onAnswer(now); }
+    /// Records that calls to the platform fail, and announces the end of the contact.
+    void platformUnreachable(Context& context);
+    /// @return which entry instances of the availability zone are in contact with the platform
+    const PlatformContact& contact() const { return m_contact; }
     /// @return whether the start is complete: each entry instance that the platform lists has been heard of, or
     ///     the platform is always current, or the time to wait for them is over
     bool joined(Time now) const;
-    /// @return time since this entry instance last reached the platform; zero while its watch is open
-    Duration platformAge(Time now) const { return m_hasOpenWatch ? Duration {} : now - m_platformReachedAt; }
-
 private:
     /// A ping that awaits its acknowledgement.
     struct Probe {
@@ -127,6 +116,9 @@
     Identity m_identity;
     MemberTable& m_members;
     ActiveSheet& m_activeSheet;
+    PlatformContact m_contact;
+    /// Answer of the platform that the zone was told of last.
+    std::optional<Time> m_announcedContact;
     std::vector<Probe> m_probes;
     /// Target of the latest probe; the next round continues after it by name.
     InstanceName m_lastProbed;
@@ -134,14 +126,12 @@
     std::uint64_t m_sequence = 0;
     Time m_start;
     Time m_nextRound;
-    Time m_platformReachedAt;
     Time m_sheetRequestedAt;
     StoreRevision m_serversRevision;
     StoreRevision m_highestPeerRevision;
     InstanceName m_highestRevisionPeer;
     bool m_leaving = false;
     bool m_started = false;
-    bool m_hasOpenWatch = false;
 };
 
 } // namespace cornelwind
--- a/src/decision/member_table.h
+++ b/src/decision/member_table.h
@@ -36,14 +36,12 @@
     Time lastHeard;
     /// When the suspicion ends, or when a dead member may be removed from the table.
     Time stateExpiresAt;
-    /// Time since it last reached the platform, as it reported at `platformAgeAt`.
-    /// Zero means that it has an open watch there.
-    Duration platformAge {};
+    /// Time since the platform last answered it, as it reported at `platformAgeAt`; unknown before its first report.
+    Duration platformAge { std::chrono::hours(1) };
     Time platformAgeAt;
 
-    /// @return time since it last reached the platform. A reported zero holds until the next report, because a
-    /// member reports at once when its watch closes.
-    Duration platformAgeNow(Time now) const { return platformAge > Duration {} ? platformAge + (now - platformAgeAt) : Duration {}; }
+    /// @return time since the platform last answered it, if it has had no answer since the report
+    Duration platformAgeNow(Time now) const { return platformAge + (now - platformAgeAt); }
 
     /// Earlier incarnations, oldest first. Messages that name one of them are ignored.
     std::deque<Incarnation> pastIncarnations;
--- /dev/null
+++ b/src/decision/platform_contact.cpp
@@ -0,0 +1,95 @@
+#include "platform_contact.h"
+
+#include "cornelwind/membership.h"
+
+#include <algorithm>
+
+namespace cornelwind {
+namespace {
+
+    // Time after an answer for which an instance is in contact. Watchers get an answer each second or sooner.
+    constexpr Duration CONTACT_LIMIT = std::chrono::milliseconds(1400);
+    // Additional wait for each `WATCHERS_PER_ZONE` members of the zone that sort before this entry instance, so that the first
+    // ones can get an answer before all others call.
+    constexpr Duration TAKEOVER_STAGGER = std::chrono::milliseconds(25);
+    constexpr Duration MAX_TAKEOVER_STAGGER = std::chrono::milliseconds(200);
+    // Time from the start to the first watch. Other members are known by then, so that not all start to watch.
+    constexpr Duration FIRST_WATCH_DELAY = std::chrono::milliseconds(500);
+
+    // If no member of an availability zone has reached a platform that may be stale for this time, another one becomes a watcher.
+    constexpr Duration POLL_STALE_TIME = std::chrono::seconds(4);
+    constexpr Duration POLL_TAKEOVER_STAGGER = std::chrono::seconds(2);
+
+} // namespace
+
+PlatformContact::PlatformContact(const MemberTable& members, bool platformIsCurrent)
+    : m_members(members)
+    , m_platformIsCurrent(platformIsCurrent)
+{
+}
+
+void PlatformContact::start(Time now)
+{
+    m_start = now;
+}
+
+void PlatformContact::onAnswer(Time now)
+{
+    m_answeredAt = now;
+    m_isLost = false;
+}
+
+bool PlatformContact::onUnreachable(Time now)
+{
+    const bool wasInContact = statedAge(now) <= CONTACT_LIMIT;
+    m_isLost = true;
+    return wasInContact;
+}
+
+Duration PlatformContact::statedAge(Time now) const
+{
+    if (m_answeredAt && !m_isLost)
+        return age(now);
+    return std::max<Duration>(age(now), CONTACT_LIMIT + Millis { 1 });
+}
+
+ZoneContact PlatformContact::latestOfZone(Time now) const
+{
+    ZoneContact latest { m_members.self(), statedAge(now) };
+    for (const auto& [name, member] : m_members.records()) {
+        if (member.zone == m_members.zone() && member.state == MemberState::Alive && member.platformAgeNow(now) < latest.age)
+            latest = { name, member.platformAgeNow(now) };
+    }
+    return latest;
+}
+
+bool PlatformContact::shouldWatch(Time now) const
+{
+    return m_platformIsCurrent ? shouldWatchCurrent(now) : shouldPoll(now);
+}
+
+std::size_t PlatformContact::membersBefore(Duration limit, Time now) const
+{
+    const auto& records = m_members.records();
+    return static_cast<std::size_t>(std::count_if(records.begin(), records.lower_bound(m_members.self()), [&](const auto& row) {
+        const MemberRecord& member = row.second;
+        return member.zone == m_members.zone() && member.state == MemberState::Alive && member.platformAgeNow(now) <= limit;
+    }));
+}
+
+bool PlatformContact::shouldWatchCurrent(Time now) const
+{
+    if (now - m_start < FIRST_WATCH_DELAY)
+        return false;
+    const auto order = static_cast<std::int64_t>(membersBefore(Duration::max(), now) / WATCHERS_PER_ZONE);
+    const Duration stagger = std::min(order * TAKEOVER_STAGGER, MAX_TAKEOVER_STAGGER);
+    return membersBefore(CONTACT_LIMIT + stagger, now) < WATCHERS_PER_ZONE;
+}
+
+bool PlatformContact::shouldPoll(Time now) const
+{
+    const auto order = static_cast<std::int64_t>(membersBefore(Duration::max(), now) / WATCHERS_PER_ZONE);
+    return !order || latestOfZone(now).age > POLL_STALE_TIME + order * POLL_TAKEOVER_STAGGER;
+}
+
+} // namespace cornelwind
--- a/src/decision/reducer_state.cpp
+++ b/src/decision/reducer_state.cpp
@@ -82,6 +82,12 @@
     m_serverRegistry.onPlatformReachable(context);
 }
 
+void Reducer::State::on(const PlatformUnreachable&, Context& context)
+{
+    m_serverRegistry.onPlatformUnreachable(context);
+    m_gossip.platformUnreachable(context);
+}
+
 void Reducer::State::on(const KeysRequested& event, Context& context)
 {
     IssueKeys keys { event.request, {} };
@@ -191,7 +197,6 @@
     if (m_serverRegistry.onTick(context))
         adoptSheetWithServers(context);
     notifyZoneOfServers(context);
-    m_gossip.setWatchOpen(m_watching && m_serverRegistry.reachable() && m_serverRegistry.hasServerList(), context);
     if (m_gossip.highestPeerRevision() <= m_serverRegistry.revision()) {
         m_laggingSince.reset();
         return;
@@ -271,12 +276,17 @@
 
 void Reducer::State::updateWatch(Context& context)
 {
-    const bool watch = m_gossip.shouldWatch(context.now());
+    if (m_watching)
+        m_gossip.announceContact(context);
+    const bool watch = m_gossip.contact().shouldWatch(context.now());
     const Millis refresh = std::max<Millis>(MIN_LIST_REFRESH, LIST_REFRESH_PER_INSTANCE * (1 + m_members.liveCount()));
     if (watch == m_watching && refresh == m_listRefresh)
         return;
     if (watch != m_watching)
         reportWatch(watch, context);
+    // From now on the members in contact tell of changes, so an outage that only this instance has is over.
+    if (!watch && m_serversPublishedSeparately)
+        m_serverRegistry.onPlatformReachable(context);
     m_watching = watch;
     m_listRefresh = refresh;
     context.emit(WatchPlatform { watch, refresh });
@@ -284,7 +294,7 @@
 
 void Reducer::State::reportWatch(bool watch, Context& context) const
 {
-    const ZoneContact latest = m_gossip.latestZoneContact(context.now());
+    const ZoneContact latest = m_gossip.contact().latestOfZone(context.now());
     const auto age = std::chrono::duration_cast<Millis>(latest.age);
     context.report(DecisionKind::WatchChanged, "platform", watch ? "this instance starts to watch it" : "this instance stops watching it",
         "last contact of the zone " + std::to_string(age.count()) + " ms ago by " + latest.instance.value());
@@ -311,8 +321,8 @@
     status.ready = m_ready && !m_drain.stopping();
     status.stopping = m_drain.stopping();
     status.watching = m_watching;
-    status.platformAge = m_gossip.platformAge(now);
-    status.zoneContactAge = m_gossip.latestZoneContact(now).age;
+    status.platformAge = m_gossip.contact().age(now);
+    status.zoneContactAge = m_gossip.contact().latestOfZone(now).age;
     status.requests = m_flow.size();
     status.keys = m_keys.size();
     for (const auto& [name, member] : m_members.records())
--- a/src/decision/reducer_state.h
+++ b/src/decision/reducer_state.h
@@ -44,7 +44,7 @@
     void on(const StopRequested&, Context& context) { m_drain.onStopRequested(context); }
     void on(const PlatformReachable&, Context& context) { platformAnswered(context); }
     void on(const SettingsChanged& event, Context&) { m_gossip.setSeeds(event.seeds); }
-    void on(const PlatformUnreachable&, Context& context) { m_serverRegistry.onPlatformUnreachable(context); }
+    void on(const PlatformUnreachable& event, Context& context);
     void on(const ServersPublished& event, Context& context);
     void on(const KeysRequested& event, Context& context);
     void on(const SheetFetched& event, Context& context);
--- a/src/shell/metadata_store_watcher.cpp
+++ b/src/shell/metadata_store_watcher.cpp
@@ -9,9 +9,8 @@
 namespace cornelwind {
 namespace {
 
-    // Long waits save calls. A dead connection is detected sooner than that, by keep-alive probes and by peers that know
-    // later values.
-    constexpr Millis LONG_POLL_WAIT { 25000 };
+    // Each answer shows that the store is still reached; members rely on it, see PlatformContact.
+    constexpr Millis LONG_POLL_WAIT { 1000 };
     constexpr Millis BATCH_DELAY { 150 };
     constexpr Millis INITIAL_BACKOFF { 150 };
     constexpr Millis MAX_BACKOFF { 1200 };
@@ -57,6 +56,7 @@
 {
     m_suspended = true;
     m_failures = 0;
+    m_wasAnswered = false;
     // The reply to the cancelled call is ignored.
     ++m_callNumber;
 }
@@ -67,6 +67,7 @@
         return;
     m_timer->cancel();
     m_store->cancel(m_call);
+    m_wasAnswered = false;
     call();
 }
 
@@ -94,7 +95,8 @@
         m_call = m_store->readServers(m_nextPage, handler);
         return;
     case State::Watch:
-        m_call = m_store->watch(m_revision, LONG_POLL_WAIT, handler);
+        // Without an answer lately it is to be shown first that the store is reached.
+        m_call = m_store->watch(m_revision, m_wasAnswered ? LONG_POLL_WAIT : Millis { 0 }, handler);
         return;
     }
 }
@@ -113,6 +115,7 @@
     if (reply.status != StoreStatus::Ok)
         return onFailure(reply.status);
     m_failures = 0;
+    m_wasAnswered = true;
     static constexpr std::array handlers { &MetadataStoreWatcher::onSheetRead, &MetadataStoreWatcher::onServersRead, &MetadataStoreWatcher::onChanges };
     (this->*handlers.at(static_cast<std::size_t>(m_state)))(reply);
 }
@@ -123,6 +126,7 @@
         logMessage(LogLevel::Warn, LogComponent::Platform, std::string("Call to the metadata store failed: ") + toString(status) + "; last revision " + std::to_string(m_revision.value()) + ", retrying with backoff.");
     const Duration backoff = std::min<Duration>(INITIAL_BACKOFF * (1U << std::min(m_failures, MAX_BACKOFF_DOUBLINGS)), MAX_BACKOFF);
     ++m_failures;
+    m_wasAnswered = false;
     // A single failed call does not show that the platform is unreachable; its retry follows shortly.
     if (m_failures > 1)
         m_handler(PlatformUnreachable {});
--- a/src/shell/metadata_store_watcher.h
+++ b/src/shell/metadata_store_watcher.h
@@ -81,6 +81,8 @@
     bool m_suspended = false;
     bool m_callInProgress = false;
     Time m_calledAt;
+    /// Whether the latest call got an answer.
+    bool m_wasAnswered = false;
     /// Failed calls in a row.
     std::uint32_t m_failures = 0;
     std::uint64_t m_calls = 0;
