Ask the member that stated a revision last, not the first one, for the servers

An instance that the store rejects asks for the list of servers the member that first stated the highest revision, and no other until a higher one is known. If that member is gone, it keeps servers that have left in use (DRAIN).

--- a/src/decision/gossip.cpp
+++ b/src/decision/gossip.cpp
@@ -211,7 +211,7 @@
         m_members.merge(update, context);
     sender.platformAge = Millis { message.platform_age_ms() };
     sender.platformAgeAt = context.now();
-    if (const StoreRevision revision { message.servers_revision() }; revision > m_highestPeerRevision) {
+    if (const StoreRevision revision { message.servers_revision() }; revision.value() && revision >= m_highestPeerRevision) {
         m_highestPeerRevision = revision;
         m_highestRevisionPeer = sender.name;
     }
--- a/src/decision/gossip.h
+++ b/src/decision/gossip.h
@@ -69,7 +69,7 @@
     void setServersRevision(StoreRevision revision) { m_serversRevision = revision; }
     /// @return the highest revision of the published servers that any member has stated
     StoreRevision highestPeerRevision() const { return m_highestPeerRevision; }
-    /// @return the member that stated it first
+    /// @return the member that stated it last, which is the likeliest to answer
     const InstanceName& highestRevisionPeer() const { return m_highestRevisionPeer; }
 
     void setSeeds(std::vector<Endpoint> seeds) { m_identity.seeds = std::move(seeds); }
@@ -86,6 +86,7 @@
     /// @return whether the start is complete: each entry instance that the platform lists has been heard of, or
     ///     the platform is always current, or the time to wait for them is over
     bool joined(Time now) const;
+
 private:
     /// A ping that awaits its acknowledgement.
     struct Probe {
--- a/tests/reducer_test.cpp
+++ b/tests/reducer_test.cpp
@@ -338,18 +338,24 @@
     return Reducer::Builder().settings(settings).incarnation(Incarnation { 7 }).start(start).build();
 }
 
-/// @return an empty message of member `b`, in its start 9
-std::shared_ptr<peer::Envelope> makeMessageOfB()
+/// @return an empty message of member `name`, in its start 9
+std::shared_ptr<peer::Envelope> makeMessage(const std::string& name, const std::string& address)
 {
     auto message = std::make_shared<peer::Envelope>();
     message->set_version(1);
-    message->mutable_from()->set_name("b");
+    message->mutable_from()->set_name(name);
     message->mutable_from()->set_zone("z");
-    message->mutable_from()->set_address("10.1.0.2:9000");
+    message->mutable_from()->set_address(address);
     message->mutable_from()->set_incarnation(9);
     return message;
 }
 
+/// @return an empty message of member `b`, in its start 9
+std::shared_ptr<peer::Envelope> makeMessageOfB()
+{
+    return makeMessage("b", "10.1.0.2:9000");
+}
+
 } // namespace
 
 // Guards against an instance that gets changes of the server list late (2.5 s were seen) because the platform rejects its
@@ -382,6 +388,33 @@
     CHECK(listRequests >= 1);
 }
 
+TEST_CASE("An instance asks another member for the servers if the one that told of a change first does not answer")
+{
+    Time now { std::chrono::seconds(100) };
+    Reducer reducer = makeStoreReducer(now);
+    EffectList effects;
+    const auto apply = [&](EventBody body) { reducer.apply({ now, 1, std::move(body) }, effects); };
+    apply(SheetFetched { makeSheet(1, rule("idempotent")) });
+    apply(ServersPublished { {}, StoreRevision { 1 }, true });
+    apply(PlatformUnreachable {});
+    for (const char* name : { "b", "c" }) {
+        auto ping = makeMessage(name, "10.1.0.2:9000");
+        ping->mutable_ping()->set_servers_revision(20);
+        apply(PeerMessageReceived { ping });
+        now += std::chrono::milliseconds(10);
+    }
+    effects.clear();
+    for (int i = 0; i < 100; ++i) {
+        now += std::chrono::milliseconds(10);
+        apply(Tick {});
+    }
+    const auto asked = std::count_if(effects.begin(), effects.end(), [](const Effect& effect) {
+        const auto* send = std::get_if<SendPeerMessage>(&effect);
+        return send && send->message->has_servers_request() && send->to == InstanceName { "c" };
+    });
+    CHECK(asked >= 1);
+}
+
 TEST_CASE("A keyed request refused before its owner is asked has an unknown outcome")
 {
     struct Row {
