--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -59,7 +59,8 @@
 class WatcherFixture {
 public:
     WatcherFixture()
-        : m_watcher(std::make_unique<AsioTimer>(m_io), std::make_unique<ScriptedStore>(m_calls), [this](EventBody body) { events.push_back(std::move(body)); }, randomBits)
+        : m_watcher(
+            std::make_unique<AsioTimer>(m_io), std::make_unique<ScriptedStore>(m_calls), [this](EventBody body) { events.push_back(std::move(body)); }, randomBits)
     {
         m_watcher.start();
         m_watcher.watch(true, Millis { 0 });
--- a/tests/store_contact_test.cpp
+++ b/tests/store_contact_test.cpp
@@ -31,6 +31,8 @@
 const StoreAccess OUTAGES[] = { StoreAccess::Refused, StoreAccess::Silent };
 
 constexpr Millis START_TIME { 4000 };
+// Time without disruption after which an instance that reaches the store has to follow it.
+constexpr Millis STABLE_TIME { 3000 };
 // Time in which members that hear each other agree, see docs/design/published-servers.md.
 constexpr Millis AGREEMENT_TIME { 1200 };
 
@@ -68,6 +70,21 @@
     }
 }
 
+/// Calls `check` for each deployment and reacher, with a fleet that is up to date.
+template <typename Check>
+void forEachReacher(const Check& check)
+{
+    for (const Deployment& deployment : DEPLOYMENTS) {
+        for (const std::size_t reacher : deployment.reachers) {
+            CAPTURE(deployment.instances, reacher);
+            SimulatedStoreFleet fleet(deployment.instances, deployment.zones, 8);
+            fleet.run(START_TIME);
+            REQUIRE(outdated(fleet).empty());
+            check(fleet, deployment, reacher);
+        }
+    }
+}
+
 void rejectAllBut(SimulatedStoreFleet& fleet, std::size_t reacher, StoreAccess outage)
 {
     for (std::size_t i = 0; i < fleet.size(); ++i) {
@@ -116,3 +133,94 @@
         });
     }
 }
+
+TEST_CASE("An instance that starts while the store rejects all others follows each change in time")
+{
+    forEachReacher([](SimulatedStoreFleet& fleet, const Deployment& deployment, std::size_t reacher) {
+        rejectAllBut(fleet, reacher, StoreAccess::Refused);
+        fleet.run(Millis { 500 });
+        fleet.restart(reacher);
+        fleet.run(STABLE_TIME);
+        publishChanges(fleet, 0);
+        fleet.run(deployment.bound);
+        CHECK(fleet.isUpToDate(reacher));
+        fleet.run(AGREEMENT_TIME);
+        CHECK(outdated(fleet) == std::vector<std::size_t> {});
+    });
+}
+
+TEST_CASE("An instance that is cut off from all members follows the store itself")
+{
+    forEachReacher([](SimulatedStoreFleet& fleet, const Deployment& deployment, std::size_t reacher) {
+        fleet.setIsolated(reacher, true);
+        fleet.run(Millis { 30 });
+        publishChanges(fleet, 0);
+        fleet.run(deployment.bound);
+        CHECK(fleet.isUpToDate(reacher));
+    });
+}
+
+TEST_CASE("A zone whose instances the store all rejects follows through the other zones")
+{
+    for (const StoreAccess outage : OUTAGES) {
+        for (const Deployment& deployment : DEPLOYMENTS) {
+            CAPTURE(deployment.instances, outage == StoreAccess::Silent);
+            SimulatedStoreFleet fleet(deployment.instances, deployment.zones, 9);
+            fleet.run(START_TIME);
+            for (std::size_t i = 0; i < fleet.size(); i += deployment.zones)
+                fleet.setAccess(i, outage);
+            for (int number = 0; number < 3; ++number) {
+                publishChanges(fleet, number);
+                fleet.run(AGREEMENT_TIME);
+                CHECK(outdated(fleet) == std::vector<std::size_t> {});
+            }
+        }
+    }
+}
+
+TEST_CASE("The first instance that the store answers again after an outage for all follows what has changed")
+{
+    for (const StoreAccess outage : OUTAGES) {
+        forEachReacher([outage](SimulatedStoreFleet& fleet, const Deployment& deployment, std::size_t reacher) {
+            CAPTURE(outage == StoreAccess::Silent);
+            fleet.setAccessOfAll(outage);
+            fleet.run(Millis { 7000 });
+            publishChanges(fleet, 0);
+            fleet.setAccess(reacher, StoreAccess::Served);
+            fleet.run(STABLE_TIME);
+            CHECK(fleet.isUpToDate(reacher));
+            publishChanges(fleet, 1);
+            fleet.run(deployment.bound);
+            CHECK(fleet.isUpToDate(reacher));
+        });
+    }
+}
+
+TEST_CASE("In calm only two instances of each zone call the store, each about once a second")
+{
+    for (const Deployment& deployment : DEPLOYMENTS) {
+        CAPTURE(deployment.instances);
+        SimulatedStoreFleet fleet(deployment.instances, deployment.zones, 10);
+        fleet.run(START_TIME);
+        const std::size_t before = fleet.calls();
+        fleet.run(std::chrono::seconds(20));
+        CHECK(fleet.calls() - before <= 20 * 2 * deployment.zones);
+    }
+}
+
+TEST_CASE("Members whose source of a change is gone get it from another member")
+{
+    constexpr std::size_t SOURCE = 12;
+    for (int delay = 20; delay <= 300; delay += 20) {
+        CAPTURE(delay);
+        SimulatedStoreFleet fleet(13, 4, 11);
+        fleet.run(START_TIME);
+        rejectAllBut(fleet, SOURCE, StoreAccess::Refused);
+        fleet.run(Millis { 2000 });
+        fleet.publishServer("s0", true);
+        fleet.run(Millis { delay });
+        fleet.setIsolated(SOURCE, true);
+        fleet.run(AGREEMENT_TIME);
+        CHECK(outdated(fleet) == std::vector<std::size_t> {});
+    }
+}
--- a/tests/support/fleet.cpp
+++ b/tests/support/fleet.cpp
@@ -284,9 +284,7 @@
 std::string Fleet::addPeerRelay(const std::string& from, const std::string& to)
 {
     const std::string address = freeAddress();
-    const std::string control = freeAddress();
-    m_relays.push_back(std::make_unique<Process>(STANDIN_PROGRAM,
-        std::vector<std::string> { "relay", "--listen", address, "--control", control, "--to", peerAddress(to) }, m_directory + "/relay.log"));
+    const std::string control = startRelay(address, peerAddress(to));
     m_instances.at(from).settings += "[[peer_route]]\ninstance = \"" + to + "\"\nvia = \"" + address + "\"\n";
     return control;
 }
@@ -294,9 +292,22 @@
 std::string Fleet::addServerRelay(const std::string& name, std::string& address)
 {
     address = freeAddress();
+    return startRelay(address, serverAddress(name));
+}
+
+std::string Fleet::addPlatformRelay(const std::string& instance)
+{
+    const std::string address = freeAddress();
+    const std::string control = startRelay(address, m_platformAddress);
+    setPlatformAddress(instance, address);
+    return control;
+}
+
+std::string Fleet::startRelay(const std::string& address, const std::string& target)
+{
     const std::string control = freeAddress();
     m_relays.push_back(std::make_unique<Process>(STANDIN_PROGRAM,
-        std::vector<std::string> { "relay", "--listen", address, "--control", control, "--to", serverAddress(name) }, m_directory + "/relay.log"));
+        std::vector<std::string> { "relay", "--listen", address, "--control", control, "--to", target }, m_directory + "/relay.log"));
     return control;
 }
 
--- a/tests/support/fleet.h
+++ b/tests/support/fleet.h
@@ -144,6 +144,12 @@
     /// @return the control address of the relay, for `controlRelay`
     std::string addServerRelay(const std::string& name, std::string& address);
 
+    /// Starts a relay through which an instance reaches the platform stand-in. Takes effect at the next `start`. Must be called at
+    /// most once for each instance.
+    ///
+    /// @return the control address of the relay, for `controlRelay`
+    std::string addPlatformRelay(const std::string& instance);
+
     /// Sets faults of a backend server.
     ///
     /// @param pairs `key=value` lines, such as `fail_percent=50`; `runServer` lists the keys
@@ -174,6 +180,7 @@
 private:
     struct Server;
     void startServer(Server& server);
+    std::string startRelay(const std::string& address, const std::string& target);
     struct Instance {
         std::string callers;
         std::string admin;
