--- a/include/cornelwind/effect.h
+++ b/include/cornelwind/effect.h
@@ -114,8 +114,12 @@
 struct WatchPlatform {
     /// Whether to watch.
     bool enabled;
-    /// Interval between two reads of the instance list while `enabled` is false.
+    /// Interval between two reads of the instance list while `enabled` is false, if the source reads one.
     Millis listRefresh;
+    /// Longest time that a call waits for a change, if the source has a history of changes.
+    Millis wait;
+
+    friend bool operator==(const WatchPlatform&, const WatchPlatform&) = default;
 };
 
 /// Read the sheet and the backend servers from the platform now, without waiting for a call in progress.
--- a/include/cornelwind/settings.h
+++ b/include/cornelwind/settings.h
@@ -28,6 +28,8 @@
 
 /// Settings of one entry instance.
 struct Settings {
+    static constexpr Millis DEFAULT_CHANGE_DEADLINE { 2000 };
+
     InstanceName name;
     ZoneName zone;
     /// Listen address for callers.
@@ -43,6 +45,9 @@
     PlatformForm platformForm = PlatformForm::Sheet;
     /// Limits set by the platform, in its own syntax. The platform adapter parses them.
     std::vector<std::string> platformLimits;
+    /// Time within which every entry instance that reaches the platform has to follow a change there; `DEFAULT_CHANGE_DEADLINE` if
+    /// the platform sets none.
+    std::optional<Millis> changeDeadline;
     /// Listen address for the readiness checks of the balancer; empty if it sends them to the callers' listener.
     std::optional<Endpoint> readiness;
     /// Address of the trace collector; empty if no traces are exported.
--- a/src/decision/gossip.cpp
+++ b/src/decision/gossip.cpp
@@ -31,7 +31,7 @@
     : m_identity(std::move(identity))
     , m_members(members)
     , m_activeSheet(activeSheet)
-    , m_contact(members, m_identity.platformIsCurrent)
+    , m_contact(members, m_identity.platformIsCurrent, m_identity.changeDeadline)
 {
     m_members.setIncarnation(m_identity.incarnation);
 }
--- a/src/decision/gossip.h
+++ b/src/decision/gossip.h
@@ -38,6 +38,8 @@
         /// Whether the platform always returns its latest values, so that a starting entry instance need not
         /// wait for the answers of members.
         bool platformIsCurrent = false;
+        /// See `Settings::changeDeadline`.
+        Duration changeDeadline {};
     };
 
     Gossip(Identity identity, MemberTable& members, ActiveSheet& activeSheet);
--- a/src/decision/platform_contact.cpp
+++ b/src/decision/platform_contact.cpp
@@ -7,12 +7,16 @@
 namespace cornelwind {
 namespace {
 
-    // Time after an answer for which an instance is in contact. Watchers get an answer each second or sooner.
-    constexpr Duration CONTACT_LIMIT = std::chrono::milliseconds(1400);
-    // Additional wait for each `WATCHERS_PER_ZONE` members of the zone that sort before this entry instance, so that the first
-    // ones can get an answer before all others call.
-    constexpr Duration TAKEOVER_STAGGER = std::chrono::milliseconds(25);
-    constexpr Duration MAX_TAKEOVER_STAGGER = std::chrono::milliseconds(200);
+    // In percent of the change deadline: how long a call of the first and of the second watcher of a zone waits, and the age at
+    // which the contact of either ends. The first ends early enough to read the platform within the deadline after that.
+    constexpr std::int64_t FIRST_WAIT = 50;
+    constexpr std::int64_t FIRST_LIMIT = 70;
+    constexpr std::int64_t SECOND_WAIT = 140;
+    constexpr std::int64_t SECOND_LIMIT = 170;
+    // Additional age, in percent, for each two members of the zone that sort before this entry instance, so that the first ones can
+    // get an answer before all others call; and its maximum.
+    constexpr std::int64_t STAGGER = 1;
+    constexpr std::int64_t MAX_STAGGER = 10;
     // Time from the start to the first watch. Other members are known by then, so that not all start to watch.
     constexpr Duration FIRST_WATCH_DELAY = std::chrono::milliseconds(500);
 
@@ -22,17 +26,13 @@
 
 } // namespace
 
-PlatformContact::PlatformContact(const MemberTable& members, bool platformIsCurrent)
+PlatformContact::PlatformContact(const MemberTable& members, bool platformIsCurrent, Duration changeDeadline)
     : m_members(members)
     , m_platformIsCurrent(platformIsCurrent)
+    , m_changeDeadline(changeDeadline)
 {
 }
 
-void PlatformContact::start(Time now)
-{
-    m_start = now;
-}
-
 void PlatformContact::onAnswer(Time now)
 {
     m_answeredAt = now;
@@ -41,7 +41,7 @@
 
 bool PlatformContact::onUnreachable(Time now)
 {
-    const bool wasInContact = statedAge(now) <= CONTACT_LIMIT;
+    const bool wasInContact = statedAge(now) <= part(SECOND_LIMIT);
     m_isLost = true;
     return wasInContact;
 }
@@ -50,7 +50,7 @@
 {
     if (m_answeredAt && !m_isLost)
         return age(now);
-    return std::max<Duration>(age(now), CONTACT_LIMIT + Millis { 1 });
+    return std::max(age(now), part(SECOND_LIMIT + MAX_STAGGER) + Millis { 1 });
 }
 
 ZoneContact PlatformContact::latestOfZone(Time now) const
@@ -81,9 +81,14 @@
 {
     if (now - m_start < FIRST_WATCH_DELAY)
         return false;
-    const auto order = static_cast<std::int64_t>(membersBefore(Duration::max(), now) / WATCHERS_PER_ZONE);
-    const Duration stagger = std::min(order * TAKEOVER_STAGGER, MAX_TAKEOVER_STAGGER);
-    return membersBefore(CONTACT_LIMIT + stagger, now) < WATCHERS_PER_ZONE;
+    const auto pairsBefore = static_cast<std::int64_t>(membersBefore(Duration::max(), now) / WATCHERS_PER_ZONE);
+    const std::int64_t stagger = std::min(pairsBefore * STAGGER, MAX_STAGGER);
+    return !membersBefore(part(FIRST_LIMIT + stagger), now) || membersBefore(part(SECOND_LIMIT + stagger), now) < WATCHERS_PER_ZONE;
+}
+
+Millis PlatformContact::watchWait(Time now) const
+{
+    return std::chrono::duration_cast<Millis>(part(membersBefore(part(FIRST_LIMIT), now) ? SECOND_WAIT : FIRST_WAIT));
 }
 
 bool PlatformContact::shouldPoll(Time now) const
--- a/src/decision/reducer_state.h
+++ b/src/decision/reducer_state.h
@@ -64,7 +64,7 @@
     void applyServerList(const peer::ServersReply& reply, Context& context);
     void sendSheet(const MemberRecord& to, Context& context);
     void updateWatch(Context& context);
-    void reportWatch(bool watch, Context& context) const;
+    void reportWatch(Context& context) const;
     void updateReady(Context& context);
 
     KeyRegistry m_keys;
@@ -85,9 +85,9 @@
     std::optional<Time> m_laggingSince;
     Time m_nextCatchUp;
     StoreRevision m_refreshRequestedFor;
-    Millis m_listRefresh {};
     bool m_serversPublishedSeparately;
-    bool m_watching = false;
+    /// The latest order to the platform source.
+    WatchPlatform m_watch {};
     bool m_ready = false;
 };
 
--- a/src/shell/instance.cpp
+++ b/src/shell/instance.cpp
@@ -192,7 +192,7 @@
 void Instance::on(const WatchPlatform& effect)
 {
     if (m_platform)
-        m_platform->watch(effect.enabled, effect.listRefresh);
+        m_platform->watch(effect);
 }
 
 void Instance::on(const RefreshPublished&)
--- a/src/shell/metadata_store_watcher.cpp
+++ b/src/shell/metadata_store_watcher.cpp
@@ -9,12 +9,10 @@
 namespace cornelwind {
 namespace {
 
-    // Each answer shows that the store is still reached; members rely on it, see PlatformContact.
-    constexpr Millis LONG_POLL_WAIT { 1000 };
     constexpr Millis BATCH_DELAY { 150 };
     constexpr Millis INITIAL_BACKOFF { 150 };
-    constexpr Millis MAX_BACKOFF { 1200 };
-    constexpr std::uint32_t MAX_BACKOFF_DOUBLINGS = 3;
+    constexpr Millis MAX_BACKOFF { 2400 };
+    constexpr std::uint32_t MAX_BACKOFF_DOUBLINGS = 4;
 
 } // namespace
 
@@ -38,15 +36,23 @@
     call();
 }
 
-void MetadataStoreWatcher::watch(bool enabled, Millis)
+void MetadataStoreWatcher::watch(const WatchPlatform& options)
 {
-    m_watchEnabled = enabled;
-    if (enabled && m_suspended)
+    const bool mustAnswerSooner = options.wait < m_wait;
+    m_watchEnabled = options.enabled;
+    m_wait = options.wait;
+    if (m_watchEnabled && m_suspended)
         return call();
-    if (enabled || m_state != State::Watch || m_suspended)
-        return;
+    if (m_watchEnabled)
+        return mustAnswerSooner ? refresh() : void();
+    if (m_state == State::Watch && !m_suspended)
+        stopWatching();
+}
+
+void MetadataStoreWatcher::stopWatching()
+{
     if (m_callInProgress)
-        logMessage(LogLevel::Info, LogComponent::Platform, "Watch of the metadata store ended; its call of " + std::to_string(std::chrono::duration_cast<Millis>(steadyNow() - m_calledAt).count()) + " ms ago had no answer yet.");
+        logMessage(LogLevel::Info, LogComponent::Platform, "Watch of the metadata store ended; its call of " + std::to_string(std::chrono::duration_cast<Millis>(m_timer->now() - m_calledAt).count()) + " ms ago had no answer yet.");
     m_store->cancel(m_call);
     m_timer->cancel();
     suspend();
@@ -84,7 +90,7 @@
         return suspend();
     m_suspended = false;
     m_callInProgress = true;
-    m_calledAt = steadyNow();
+    m_calledAt = m_timer->now();
     ++m_calls;
     const auto handler = [this, callNumber = ++m_callNumber](const StoreReply& reply) { onReply(callNumber, reply); };
     switch (m_state) {
@@ -96,7 +102,7 @@
         return;
     case State::Watch:
         // Without an answer lately it is to be shown first that the store is reached.
-        m_call = m_store->watch(m_revision, m_wasAnswered ? LONG_POLL_WAIT : Millis { 0 }, handler);
+        m_call = m_store->watch(m_revision, m_wasAnswered ? m_wait : Millis { 0 }, handler);
         return;
     }
 }
@@ -130,7 +136,8 @@
     // A single failed call does not show that the platform is unreachable; its retry follows shortly.
     if (m_failures > 1)
         m_handler(PlatformUnreachable {});
-    scheduleCall(addJitter(backoff));
+    // A call that took long to fail counts as part of the wait, so that the store is tried as often when it does not answer.
+    scheduleCall(std::max<Duration>(addJitter(backoff) - (m_timer->now() - m_calledAt), addJitter(INITIAL_BACKOFF)));
 }
 
 void MetadataStoreWatcher::scheduleCall(Duration delay)
--- a/src/shell/metadata_store_watcher.h
+++ b/src/shell/metadata_store_watcher.h
@@ -16,7 +16,7 @@
 /// One call is in progress at a time. After an interrupted watch it resumes from the last
 /// revision seen; if the store no longer holds that revision, it reads all values again.
 /// Failed calls are retried with exponential backoff and jitter: the first time after at
-/// most 150 ms, later after at most 1.2 s.
+/// most 150 ms, later at most 2.4 s after the start of the failed call.
 class MetadataStoreWatcher final : public PlatformSource {
 public:
     /// @return uniformly distributed bits
@@ -30,9 +30,8 @@
 
     void start() override;
 
-    /// @param enabled true: watches for changes; false: makes no calls once all values are read
-    /// @param listRefresh ignored
-    void watch(bool enabled, Millis listRefresh) override;
+    /// Watches for changes if enabled, else makes no calls once all values are read. Ignores `listRefresh`.
+    void watch(const WatchPlatform& options) override;
 
     /// Restarts a watch in progress from the last revision seen. Does nothing if values are being read, calls fail or
     /// watching is disabled.
@@ -60,6 +59,8 @@
     void scheduleCall(Duration delay);
     /// @return a random delay between half and all of `delay`, so that entry instances do not call in synchrony
     Duration addJitter(Duration delay) const;
+    /// Ends the watch in progress.
+    void stopWatching();
     /// Makes no calls until watching is enabled again, and ignores a reply that is still to come.
     void suspend();
 
@@ -81,6 +82,8 @@
     bool m_suspended = false;
     bool m_callInProgress = false;
     Time m_calledAt;
+    /// Longest time that a watch waits for a change.
+    Millis m_wait {};
     /// Whether the latest call got an answer.
     bool m_wasAnswered = false;
     /// Failed calls in a row.
--- a/src/shell/one_shot_timer.h
+++ b/src/shell/one_shot_timer.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "cornelwind/types.h"
+#include "http_client.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -19,6 +20,8 @@
     virtual void start(Duration delay, std::function<void()> action) = 0;
     /// Drops the action that is still to run, if any.
     virtual void cancel() = 0;
+    /// @return the current time
+    virtual Time now() const = 0;
 };
 
 /// A timer of an event loop.
@@ -40,6 +43,7 @@
     }
 
     void cancel() override { m_timer.cancel(); }
+    Time now() const override { return steadyNow(); }
 
 private:
     boost::asio::steady_timer m_timer;
--- a/src/shell/platform_poller.cpp
+++ b/src/shell/platform_poller.cpp
@@ -82,11 +82,11 @@
     call(m_list);
 }
 
-void PlatformPoller::watch(bool enabled, Millis listRefresh)
+void PlatformPoller::watch(const WatchPlatform& options)
 {
-    const bool justEnabled = enabled && !m_watching;
-    m_watching = enabled;
-    m_listRefreshInterval = listRefresh;
+    const bool justEnabled = options.enabled && !m_watching;
+    m_watching = options.enabled;
+    m_listRefreshInterval = options.listRefresh;
     if (!justEnabled)
         return;
     for (Resource* resource : { &m_sheet, &m_list }) {
--- a/src/shell/platform_poller.h
+++ b/src/shell/platform_poller.h
@@ -31,8 +31,8 @@
     /// Reads both resources, then the instance list again every 10 s until `watch` changes this.
     void start() override;
 
-    /// @param enabled true: long-polls both resources for changes; false: reads only the instance list, every `listRefresh`
-    void watch(bool enabled, Millis listRefresh) override;
+    /// Long-polls both resources for changes if enabled, else reads only the instance list. Ignores `wait`.
+    void watch(const WatchPlatform& options) override;
 
     /// Does nothing: a long poll already returns as soon as the value changes.
     void refresh() override { }
--- a/src/shell/platform_source.h
+++ b/src/shell/platform_source.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "cornelwind/effect.h"
 #include "cornelwind/event.h"
 
 #include <cstdint>
@@ -18,10 +19,7 @@
     /// Reads every value once.
     virtual void start() = 0;
     /// Enables or disables watching for changes.
-    ///
-    /// @param enabled whether to watch for changes
-    /// @param listRefresh interval at which the instance list is read while watching is disabled, if the source supports it
-    virtual void watch(bool enabled, Millis listRefresh) = 0;
+    virtual void watch(const WatchPlatform& options) = 0;
     /// Reads again at once. Called when peers know later values than this entry instance.
     virtual void refresh() = 0;
     /// @return number of calls made to the platform so far
