--- a/tests/reducer_test.cpp
+++ b/tests/reducer_test.cpp
@@ -415,6 +415,42 @@
     CHECK(asked >= 1);
 }
 
+TEST_CASE("An instance that stops watching in its own outage does not keep removed servers in use")
+{
+    Time now { std::chrono::seconds(100) };
+    Reducer reducer = makeStoreReducer(now);
+    EffectList effects;
+    const auto apply = [&](EventBody body) { reducer.apply({ now, 1, std::move(body) }, effects); };
+    apply(SheetFetched { makeSheet(0, rule("idempotent")) });
+    PublishedServer server;
+    server.name = ServerName { "p" };
+    server.service = ServiceName { "s" };
+    server.address = { "10.0.0.1", 80 };
+    server.zone = ZoneName { "z" };
+    apply(ServersPublished { { { server.name, server, StoreRevision { 1 } } }, StoreRevision { 1 }, true });
+    const auto run = [&](Millis time, bool membersInContact) {
+        for (Millis done { 0 }; done < time; done += Millis { 10 }) {
+            now += std::chrono::milliseconds(10);
+            for (const char* name : { "A1", "A2" }) {
+                auto ping = makeMessage(name, "10.1.0.2:9000");
+                ping->mutable_ping()->set_servers_revision(2);
+                if (membersInContact)
+                    apply(PeerMessageReceived { ping });
+            }
+            apply(Tick {});
+        }
+    };
+    run(Millis { 1000 }, false);
+    REQUIRE(reducer.status(now).watching);
+    apply(PlatformUnreachable {});
+    // The entry may only have expired in the outage, so that the server stays in use for a while after its end.
+    apply(ServersPublished { { { server.name, {}, StoreRevision { 2 } } }, StoreRevision { 2 } });
+    apply(PlatformUnreachable {});
+    run(Millis { 3000 }, true);
+    CHECK_FALSE(reducer.status(now).watching);
+    CHECK(reducer.status(now).servers.empty());
+}
+
 TEST_CASE("A keyed request refused before its owner is asked has an unknown outcome")
 {
     struct Row {
