--- a/tests/support/simulated_fleet.cpp
+++ b/tests/support/simulated_fleet.cpp
@@ -2,6 +2,7 @@
 
 #include "peer.pb.h"
 #include "support/limit_record.h"
+#include "support/schedule.h"
 
 #include <algorithm>
 #include <cmath>
@@ -9,7 +10,6 @@
 #include <functional>
 #include <map>
 #include <optional>
-#include <queue>
 #include <random>
 #include <unordered_map>
 #include <unordered_set>
@@ -86,12 +86,7 @@
         }
         schedule(WARMUP, [this] { arrive(); });
         const Time end = m_start + durationOf(m_day.lengthSeconds) + CALLER_DEADLINE;
-        while (!m_events.empty() && m_events.top().at <= end) {
-            const ScheduledEvent next = m_events.top();
-            m_events.pop();
-            m_now = next.at;
-            next.action();
-        }
+        m_schedule.runUntil(end);
     }
 
     std::vector<WindowReport> windows() const
@@ -148,14 +143,6 @@
     }
 
 private:
-    struct ScheduledEvent {
-        Time at;
-        std::uint64_t sequence;
-        std::function<void()> action;
-
-        bool operator<(const ScheduledEvent& other) const { return at != other.at ? at > other.at : sequence > other.sequence; }
-    };
-
     struct Instance {
         std::size_t zone = 0;
         /// What has been done to it.
@@ -175,11 +162,12 @@
 
     double uniform() { return std::uniform_real_distribution<double>(0, 1)(m_random); }
     bool chance(double probability) { return uniform() < probability; }
-    double secondsNow() const { return std::chrono::duration<double>(m_now - m_start).count(); }
+    double secondsNow() const { return std::chrono::duration<double>(now() - m_start).count(); }
     static std::string zoneName(std::size_t zone) { return "z" + std::to_string(zone); }
     static Endpoint instanceAddress(std::size_t index) { return { "10.1.0." + std::to_string(index + 1), 9000 }; }
 
-    void schedule(Duration after, std::function<void()> action) { m_events.push({ m_now + after, ++m_sequence, std::move(action) }); }
+    void schedule(Duration after, std::function<void()> action) { m_schedule.add(after, std::move(action)); }
+    Time now() const { return m_schedule.now(); }
 
     void drawServers()
     {
@@ -292,7 +280,7 @@
         m_instances[index].reducer = std::make_unique<Reducer>(Reducer::Builder()
                                                                    .settings(settings)
                                                                    .incarnation(Incarnation { ++m_lastIncarnation })
-                                                                   .start(m_now)
+                                                                   .start(now())
                                                                    .sheetReader([this](std::string_view, Reasons&) { return makeSheet(); })
                                                                    .build());
     }
@@ -361,7 +349,7 @@
     void apply(std::size_t instance, EventBody body)
     {
         EffectList effects;
-        m_instances[instance].reducer->apply({ m_now, m_random(), std::move(body) }, effects);
+        m_instances[instance].reducer->apply({ now(), m_random(), std::move(body) }, effects);
         for (const Effect& effect : effects)
             std::visit([&](const auto& what) { handle(instance, what); }, effect);
     }
@@ -416,7 +404,7 @@
         const std::size_t index = m_indexOf.at(effect.server);
         const Duration delay = m_instances[instance].zone == m_servers[index].zone ? ZONE_DELAY : REMOTE_DELAY;
         m_instances[instance].tries.insert(effect.id.value());
-        schedule(effect.deadline - m_now, [this, instance, id = effect.id] { finish(instance, id, TryResult::TimedOut, nullptr, {}); });
+        schedule(effect.deadline - now(), [this, instance, id = effect.id] { finish(instance, id, TryResult::TimedOut, nullptr, {}); });
         if (linkLoses(instance, index))
             return;
         schedule(delay, [this, instance, index, delay, id = effect.id] { reachServer(instance, index, delay, id); });
@@ -545,10 +533,8 @@
 
     SimulatedDay m_day;
     std::mt19937_64 m_random;
-    Time m_now { std::chrono::seconds(100) };
-    Time m_start = m_now + WARMUP;
-    std::uint64_t m_sequence = 0;
-    std::priority_queue<ScheduledEvent> m_events;
+    Schedule m_schedule { Time { std::chrono::seconds(100) } };
+    Time m_start = now() + WARMUP;
     std::vector<SimulatedServer> m_servers;
     std::unordered_map<ServerId, std::size_t> m_indexOf;
     std::vector<Instance> m_instances;
--- a/tests/support/simulated_store_fleet.cpp
+++ b/tests/support/simulated_store_fleet.cpp
@@ -3,13 +3,13 @@
 #include "cornelwind/reducer.h"
 #include "metadata_store_watcher.h"
 #include "peer.pb.h"
+#include "support/schedule.h"
 
 #include <algorithm>
 #include <cstdio>
 #include <functional>
 #include <map>
 #include <optional>
-#include <queue>
 #include <random>
 #include <set>
 #include <utility>
@@ -28,39 +28,6 @@
     constexpr Duration CALL_TIMEOUT = std::chrono::milliseconds(1500);
     constexpr std::size_t SEEDS = 3;
 
-    /// What happens in the course of time, in order.
-    class Schedule {
-    public:
-        Time now() const { return m_now; }
-
-        void add(Duration after, std::function<void()> action) { m_events.push({ m_now + after, ++m_sequence, std::move(action) }); }
-
-        void run(Duration time)
-        {
-            const Time end = m_now + time;
-            while (!m_events.empty() && m_events.top().at <= end) {
-                const ScheduledEvent next = m_events.top();
-                m_events.pop();
-                m_now = next.at;
-                next.action();
-            }
-            m_now = end;
-        }
-
-    private:
-        struct ScheduledEvent {
-            Time at;
-            std::uint64_t sequence;
-            std::function<void()> action;
-
-            bool operator<(const ScheduledEvent& other) const { return at != other.at ? at > other.at : sequence > other.sequence; }
-        };
-
-        Time m_now { std::chrono::seconds(100) };
-        std::uint64_t m_sequence = 0;
-        std::priority_queue<ScheduledEvent> m_events;
-    };
-
     /// A timer in simulated time.
     class SimulatedTimer final : public OneShotTimer {
     public:
@@ -232,7 +199,7 @@
         }
     }
 
-    void run(Duration time) { m_schedule.run(time); }
+    void run(Duration time) { m_schedule.runUntil(m_schedule.now() + time); }
     std::size_t size() const { return m_instances.size(); }
 
     void setAccess(std::size_t instance, StoreAccess access)
@@ -420,7 +387,7 @@
     }
 
     std::mt19937_64 m_random;
-    Schedule m_schedule;
+    Schedule m_schedule { Time { std::chrono::seconds(100) } };
     Store m_store;
     std::vector<Instance> m_instances;
     std::size_t m_zones;
