--- a/src/decision/gossip.cpp
+++ b/src/decision/gossip.cpp
@@ -245,7 +245,7 @@
 
 void Gossip::announceContact(Context& context)
 {
-    if (m_announcedContact == m_contact.answeredAt())
+    if (!m_identity.platformIsCurrent || m_announcedContact == m_contact.answeredAt())
         return;
     m_announcedContact = m_contact.answeredAt();
     for (const MemberRecord* member : m_members.live()) {
@@ -283,7 +283,7 @@
 
 void Gossip::platformUnreachable(Context& context)
 {
-    if (m_contact.onUnreachable(context.now()))
+    if (m_contact.onUnreachable(context.now()) && m_identity.platformIsCurrent)
         announce(context);
 }
 
--- a/src/decision/gossip.h
+++ b/src/decision/gossip.h
@@ -64,7 +64,8 @@
 
     /// Pings many members at once, so that a new sheet or state of this entry instance spreads without delay.
     void announce(Context& context);
-    /// Tells the availability zone of an answer of the platform, if there was one since the last call.
+    /// Tells the availability zone of an answer of the platform, if there was one since the last call and the platform is always
+    /// current; the members of other platforms check the contact seldom.
     void announceContact(Context& context);
 
     /// Sets the revision of the published servers that messages state from now on.
