--- a/src/shell/metadata_store_watcher.cpp
+++ b/src/shell/metadata_store_watcher.cpp
@@ -101,7 +101,7 @@
         m_call = m_store->readServers(m_nextPage, handler);
         return;
     case State::Watch:
-        // Without an answer lately it is to be shown first that the store is reached.
+        // After a failure or a pause the first call returns at once, and so shows whether the store is reached.
         m_call = m_store->watch(m_revision, m_wasAnswered ? m_wait : Millis { 0 }, handler);
         return;
     }
