--- a/tests/store_contact_test.cpp
+++ b/tests/store_contact_test.cpp
@@ -53,6 +53,13 @@
     return found;
 }
 
+void checkAllUpToDate(const SimulatedStoreFleet& fleet)
+{
+    const std::vector<std::size_t> found = outdated(fleet);
+    CAPTURE(found);
+    CHECK(found.empty());
+}
+
 /// Calls `check` for each deployment, kind of outage and reacher.
 template <typename Check>
 void forEachCase(const Check& check)
@@ -121,7 +128,7 @@
                 fleet.run(deployment.bound);
                 CHECK(fleet.isUpToDate(reacher));
                 fleet.run(AGREEMENT_TIME);
-                CHECK(outdated(fleet) == std::vector<std::size_t> {});
+                checkAllUpToDate(fleet);
             }
             fleet.removeServer("s2");
             fleet.run(deployment.bound);
@@ -129,7 +136,7 @@
             fleet.setAccessOfAll(StoreAccess::Served);
             publishChanges(fleet, 3);
             fleet.run(Millis { 5000 });
-            CHECK(outdated(fleet) == std::vector<std::size_t> {});
+            checkAllUpToDate(fleet);
         });
     }
 }
@@ -145,7 +152,7 @@
         fleet.run(deployment.bound);
         CHECK(fleet.isUpToDate(reacher));
         fleet.run(AGREEMENT_TIME);
-        CHECK(outdated(fleet) == std::vector<std::size_t> {});
+        checkAllUpToDate(fleet);
     });
 }
 
@@ -172,7 +179,7 @@
             for (int number = 0; number < 3; ++number) {
                 publishChanges(fleet, number);
                 fleet.run(AGREEMENT_TIME);
-                CHECK(outdated(fleet) == std::vector<std::size_t> {});
+                checkAllUpToDate(fleet);
             }
         }
     }
@@ -221,6 +228,6 @@
         fleet.run(Millis { delay });
         fleet.setIsolated(SOURCE, true);
         fleet.run(AGREEMENT_TIME);
-        CHECK(outdated(fleet) == std::vector<std::size_t> {});
+        checkAllUpToDate(fleet);
     }
 }
