Write no text from outside into a request head unchecked

An entry of another writer had a key that ends with CR LF.

Cause: the server's name, taken from the key, went into Expect-Instance as it was, so its line end ended the head. Names were bounded by their length only, and the HTTP client wrote every value that it was given.

Change: an entry whose name cannot be stated in a header is an odd entry, from the store and from members. The client sends no head with an invalid method, target, header name or value, also for requests that a member forwards. On a related path, an address with a null character passed the check of addresses, and the rest of it would have been written into Host; it is rejected.

--- /dev/null
+++ b/include/cornelwind/http_syntax.h
@@ -0,0 +1,18 @@
+#pragma once
+
+#include <string_view>
+
+namespace cornelwind {
+
+/// Checks whether a text can be written into a message as a method or as the name of a header field (RFC 9110, `token`).
+bool isToken(std::string_view text);
+
+/// Checks whether a text can be written into a request line as its target: it is not empty and has no spaces or control
+/// characters.
+bool isRequestTarget(std::string_view text);
+
+/// Checks whether a receiver reads a text back unchanged if it is written as the value of a header field: it has no control
+/// characters but tabs, and neither begins nor ends with a space or a tab. The empty text is valid.
+bool isFieldValue(std::string_view text);
+
+} // namespace cornelwind
--- /dev/null
+++ b/src/decision/http_syntax.cpp
@@ -0,0 +1,46 @@
+#include "cornelwind/http_syntax.h"
+
+#include <algorithm>
+
+namespace cornelwind {
+namespace {
+
+    constexpr char TAB = '\t';
+    constexpr char SPACE = ' ';
+
+    bool isControl(char c)
+    {
+        const auto byte = static_cast<unsigned char>(c);
+        return byte < 0x20 || byte == 0x7f;
+    }
+
+    bool isTokenCharacter(char c)
+    {
+        constexpr std::string_view symbols = "!#$%&'*+-.^_`|~";
+        const bool letter = (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z');
+        return letter || (c >= '0' && c <= '9') || symbols.find(c) != std::string_view::npos;
+    }
+
+    bool isBlank(char c) { return c == SPACE || c == TAB; }
+
+} // namespace
+
+bool isToken(std::string_view text)
+{
+    return !text.empty() && std::all_of(text.begin(), text.end(), isTokenCharacter);
+}
+
+bool isRequestTarget(std::string_view text)
+{
+    return !text.empty() && std::none_of(text.begin(), text.end(), [](char c) { return isControl(c) || c == SPACE; });
+}
+
+bool isFieldValue(std::string_view text)
+{
+    if (text.empty())
+        return true;
+    const bool controls = std::any_of(text.begin(), text.end(), [](char c) { return isControl(c) && c != TAB; });
+    return !controls && !isBlank(text.front()) && !isBlank(text.back());
+}
+
+} // namespace cornelwind
--- a/src/decision/published_server.cpp
+++ b/src/decision/published_server.cpp
@@ -1,11 +1,16 @@
 #include "cornelwind/published_server.h"
 
+#include "cornelwind/http_syntax.h"
+
 namespace cornelwind {
 
 std::string findProblem(const PublishedServer& server)
 {
     if (server.name.value().empty() || server.name.value().size() > MAX_SERVER_NAME_BYTES)
         return "a name of " + std::to_string(server.name.value().size()) + " bytes";
+    // Requests for the server name it in a header.
+    if (!isFieldValue(server.name.value()))
+        return "a name with control characters or with spaces at its ends";
     if (server.service.value().empty())
         return "no service";
     if (!server.address.port)
--- a/src/decision/types.cpp
+++ b/src/decision/types.cpp
@@ -10,6 +10,9 @@
 
     bool isNumericAddress(const std::string& host)
     {
+        // The C library reads only up to a null character.
+        if (host.find('\0') != std::string::npos)
+            return false;
         in_addr v4 {};
         in6_addr v6 {};
         return inet_pton(AF_INET, host.c_str(), &v4) == 1 || inet_pton(AF_INET6, host.c_str(), &v6) == 1;
--- a/src/shell/http_client.cpp
+++ b/src/shell/http_client.cpp
@@ -1,6 +1,8 @@
 #include "http_client.h"
 
 #include "connection_pool.h"
+#include "cornelwind/http_syntax.h"
+#include "log.h"
 
 #include <boost/asio/connect.hpp>
 #include <boost/asio/detail/socket_option.hpp>
@@ -43,6 +45,21 @@
     constexpr int KEEPALIVE_INTERVAL_S = 1;
     constexpr int KEEPALIVE_PROBES = 2;
 
+    // Returns the first part of the head that would be read back as something else, or nothing. A line end in a header would
+    // end the head there, and the backend server would read the rest as a body or as another request.
+    std::optional<std::string> findInvalidPart(const HttpCall& call)
+    {
+        if (!isToken(call.method))
+            return "method " + call.method;
+        if (!isRequestTarget(call.target))
+            return "target " + call.target;
+        for (const Header& header : call.headers) {
+            if (!isToken(header.name) || !isFieldValue(header.value))
+                return "header " + header.name + ": " + header.value;
+        }
+        return std::nullopt;
+    }
+
     std::string serializeHead(const HttpCall& call, Time now)
     {
         std::string head = call.method + " " + call.target + " HTTP/1.1\r\n";
@@ -108,6 +125,10 @@
 
     void start()
     {
+        if (const auto invalid = findInvalidPart(m_call)) {
+            logMessage(LogLevel::Warn, LogComponent::Server, "Request to " + toString(m_call.address) + " not sent; invalid " + escapeForLog(*invalid));
+            return finish(TryResult::NotSent);
+        }
         m_timer.expires_at(m_call.deadline);
         m_timer.async_wait([self = shared_from_this()](ErrorCode error) {
             if (!error)
--- a/tests/odd_entry_test.cpp
+++ b/tests/odd_entry_test.cpp
@@ -92,6 +92,11 @@
     Row { "item in wrong UTF-8", [](const PlatformStore& store, const std::string& key, const std::string& entry) { return replaced(store.item(key, entry), "\"lease\":0", "\"lease\":\"\xff\xfe\""); } },
     Row { "item without a key", [](const PlatformStore& store, const std::string& key, const std::string& entry) { return replaced(store.item(key, entry), "\"key\"", "\"lock\""); } },
     Row { "item with a key of 10,000 bytes", [](const PlatformStore& store, const std::string& key, const std::string& entry) { return store.item(key + std::string(10000, 'x'), entry); } },
+    Row { "key with a line end", [](const PlatformStore& store, const std::string& key, const std::string& entry) { return store.item(key + "\\r\\n", entry); } },
+    Row { "key with a line feed inside", [](const PlatformStore& store, const std::string& key, const std::string& entry) { return store.item(key + "\\nx", entry); } },
+    Row { "key with a null character", [](const PlatformStore& store, const std::string& key, const std::string& entry) { return store.item(key + "\\u0000", entry); } },
+    Row { "key that ends with a space", [](const PlatformStore& store, const std::string& key, const std::string& entry) { return store.item(key + " ", entry); } },
+    Row { "address with a null character", [](const PlatformStore& store, const std::string& key, const std::string& entry) { return store.item(key, std::string(entry).insert(entry.find(':', entry.find("\"address\":\"") + 11), "\\u0000\\r\\n")); } },
     Row { "item that is a number", [](const PlatformStore&, const std::string&, const std::string&) { return std::string("17"); } },
     ODD_REVISION("1e400"),
     ODD_REVISION("-1"),
@@ -232,6 +237,24 @@
     CHECK(scenario.allRun());
 }
 
+TEST_CASE("A line end in the key of an entry does not cut the head of an order, which would then run without its body")
+{
+    Scenario scenario;
+    scenario.start();
+    scenario.store.change({ scenario.store.item("servers/s0\\r\\n", scenario.store.entry("s0", "service", 8)),
+        scenario.store.item("servers/s1", scenario.store.entry("s1", "service", 8)) });
+    REQUIRE(waitFor([&] { return scenario.knowEverywhere("\"name\":\"s1\""); }, 5000));
+    constexpr int orders = 60;
+    for (int i = 0; i < orders; ++i) {
+        const std::string id = "00000000000001" + std::to_string(10 + i);
+        call(scenario.fleet.callerAddress(scenario.instances[static_cast<std::size_t>(i) % scenario.instances.size()]), "POST", "/unsafe/x",
+            { { "Request-Id", id }, { "Deadline-Ms", "2000" } }, "order " + id);
+    }
+    CHECK(scenario.fleet.countRuns("POST /unsafe/x") == orders);
+    CHECK(scenario.fleet.countRuns("POST /unsafe/x order 00000000000001") == orders);
+    CHECK(scenario.countLogged("i0", "subject=\"s0\\x0d\\x0a\"") + scenario.countLogged("i1", "subject=\"s0\\x0d\\x0a\"") >= 1);
+}
+
 TEST_CASE("A page that ends with an item without a key is followed by the next one")
 {
     Scenario scenario;
