Pass on no refusal of an order without proof that it has not run

Cause: RequestFlow replaced an unproved 503 by 502, but passed on the other statuses that callers read in the same way. On related paths: a 421 was taken for proof by its status alone, so that an order that had run was answered 503 or sent on; and such answers counted as successes of the server, and were not tried elsewhere for look-ups.

Change: 408, 421, 429 and 503 without the header that proves that the request has not run are failures of the server. An order gets 502 (outcome unknown), a look-up is sent to another server.

Evidence: on the code before, 5 of 461 checks of platform_process_test fail (408, 421 and 429 for orders, 408 and 429 for look-ups); with the change all pass.

--- a/include/cornelwind/response.h
+++ b/include/cornelwind/response.h
@@ -1,6 +1,8 @@
 #pragma once
 
+#include <algorithm>
 #include <cstdint>
+#include <iterator>
 #include <memory>
 #include <string>
 #include <vector>
@@ -27,6 +29,13 @@
     return response.status >= firstServerError;
 }
 
+/// @return whether the status says that the request was refused and has not run: 408, 421, 429 or 503
+inline bool isRefusalStatus(std::uint16_t status)
+{
+    constexpr std::uint16_t refusals[] = { 408, 421, 429, 503 };
+    return std::find(std::begin(refusals), std::end(refusals), status) != std::end(refusals);
+}
+
 /// A response does not change, and all requests that receive it share it.
 using ResponsePtr = std::shared_ptr<const Response>;
 
--- a/src/decision/request_flow.cpp
+++ b/src/decision/request_flow.cpp
@@ -209,7 +209,7 @@
 {
     if (!request.rule || request.usedAsTrial || !placedByCost(request))
         return;
-    const bool served = result.response && !isServerError(*result.response);
+    const bool served = result.response && !isFailure(request, *result.response);
     m_dependencies.losses.recordOwn(request.service->id, served, now);
 }
 
--- a/src/decision/request_flow.h
+++ b/src/decision/request_flow.h
@@ -276,7 +276,7 @@
     ///
     /// @return why the request must not be sent again, for the log; null if it may
     const char* reasonAgainstResend(Request& request, bool reachedServer, Context& context) const;
-    bool placedByCost(const Request& request) const { return request.service->config.placement == Placement::ExpectedCost; }
+    static bool placedByCost(const Request& request) { return request.service->config.placement == Placement::ExpectedCost; }
     /// @return highest acceptable probability, from 0 to 1, that the chosen server is unhealthy
     double acceptableRisk(const Request& request, Time now) const;
     /// @return number of requests that the chosen server may have in flight beyond its slots
@@ -292,6 +292,12 @@
     void observeSlow(Request& request, const ActiveTry& active, Context& context);
     /// @return whether the request may test if a suspected server has recovered
     bool mayRunTrial(const Request& request) const;
+    /// @return whether callers read the status of a response as a statement that the request has not run
+    static bool isRefusal(const Request& request, const Response& response);
+    /// @return whether a response is a failure of the backend server, also if its status is none of a server error
+    static bool isFailure(const Request& request, const Response& response);
+    /// Sends nothing to a backend server for a time.
+    void holdBack(ServerId id, Duration time, Context& context);
     /// Updates the latency estimate of the service and the health of the server from a complete response.
     void observeResponse(Request& request, const ActiveTry& ended, bool failed, Context& context);
     void observe(Request& request, const ActiveTry& ended, Observation observation, Context& context);
--- a/src/decision/request_flow_sends.cpp
+++ b/src/decision/request_flow_sends.cpp
@@ -10,7 +10,6 @@
     constexpr Millis SHED_BACKOFF { 20 };
     // Time for the platform to publish the new entry of an address that another backend server took over.
     constexpr Millis MISDIRECTED_BACKOFF { 2000 };
-    constexpr std::uint16_t SERVICE_UNAVAILABLE = 503;
     // A try with less time left is not worth its cost.
     constexpr Millis MIN_TRY_TIME { 5 };
     // Maximum number of tries of an at-most-once request if no connection can be made.
@@ -218,7 +217,7 @@
     // A response of another server at the same address says nothing of this one.
     if (!event.misdirected && event.response)
         m_dependencies.onNotice(ended.server, ended.incarnation, event.notice, context);
-    if (event.result != TryResult::Answered || isServerError(*event.response))
+    if (event.result != TryResult::Answered || isFailure(request, *event.response))
         recordSendFailed(request, ended, event, context);
 
     const ServicePtr service = request.service;
@@ -238,17 +237,36 @@
         observe(request, ended, Observation::Success, context);
 }
 
+bool RequestFlow::isRefusal(const Request& request, const Response& response)
+{
+    return placedByCost(request) && isRefusalStatus(response.status);
+}
+
+bool RequestFlow::isFailure(const Request& request, const Response& response)
+{
+    return isServerError(response) || isRefusal(request, response);
+}
+
+void RequestFlow::holdBack(ServerId id, Duration time, Context& context)
+{
+    if (Server* server = m_dependencies.pool.find(id))
+        server->busyUntil = context.now() + time;
+}
+
 void RequestFlow::onAnswered(Request& request, const ActiveTry& ended, const TryFinished& event, Context& context)
 {
-    const bool failed = isServerError(*event.response);
+    const bool failed = isFailure(request, *event.response);
     m_dependencies.quarantine.recordSuccess(request.fingerprint);
     m_dependencies.sendObserver.tryEnded(ended.id, failed ? SendEvidence::Failure : SendEvidence::Success, context.now());
     if (placedByCost(request))
         observeResponse(request, ended, failed, context);
+    if (event.misdirected)
+        holdBack(ended.server, MISDIRECTED_BACKOFF, context);
     if (failed && !request.answered && (request.activeCount || retry(request, context)))
         return;
-    // Callers read status 503 as proof that the request has not run, but this response does not prove it.
-    if (failed && request.rule->kind == RequestKind::AtMostOnce && event.response->status == SERVICE_UNAVAILABLE && placedByCost(request))
+    // Callers read a refusal as proof that the request has not run. The backend server has not proved it, or the try would
+    // have ended as `TryResult::Shed`.
+    if (request.rule->kind == RequestKind::AtMostOnce && isRefusal(request, *event.response))
         return completeRequest(request, { Outcome::Unknown, ErrorKind::ServerFailed, nullptr }, {}, context);
     completeRequest(request, { Outcome::Ran, ErrorKind::None, event.response }, {}, context);
 }
@@ -258,8 +276,7 @@
     ++m_counters.sheds;
     --request.possiblyRunCount;
     m_dependencies.sendObserver.tryEnded(ended.id, SendEvidence::None, context.now());
-    if (Server* server = m_dependencies.pool.find(ended.server))
-        server->busyUntil = context.now() + (event.misdirected ? MISDIRECTED_BACKOFF : SHED_BACKOFF);
+    holdBack(ended.server, event.misdirected ? MISDIRECTED_BACKOFF : SHED_BACKOFF, context);
     if (request.activeCount || retry(request, context))
         return;
     const Outcome outcome = request.possiblyRunCount ? Outcome::Unknown : Outcome::NotRun;
--- a/src/shell/backend_client.cpp
+++ b/src/shell/backend_client.cpp
@@ -103,7 +103,8 @@
     event.notice = readNotice(response, pending.drainHeader);
     event.misdirected = m_conventions.misdirectedStatus && response.status == m_conventions.misdirectedStatus;
     const bool statusMatches = !pending.shedStatus || response.status == pending.shedStatus;
-    const bool refuses = event.misdirected || (statusMatches && hasHeader(response, pending.shedHeader));
+    // Only the header proves that the request has not run: a failing server may return any status after it has run one.
+    const bool refuses = statusMatches && hasHeader(response, pending.shedHeader);
     const bool incomplete = !m_conventions.completionHeader.empty() && response.status < FIRST_REDIRECT_STATUS && !hasHeader(response, m_conventions.completionHeader);
     // Without the request's id a response may be that of another request, written once more.
     const bool unattributed = pending.expectsEcho && !result.echoed;
--- a/tests/platform_process_test.cpp
+++ b/tests/platform_process_test.cpp
@@ -201,6 +201,45 @@
     }
 }
 
+TEST_CASE("An order that a failing server has run is never refused with a status that says it has not run")
+{
+    Scenario scenario(1, { "s0" });
+    for (const int status : { 408, 421, 429, 503, 500 }) {
+        CAPTURE(status);
+        scenario.fleet.controlServer("s0", "fail_percent=100\nfail_status=" + std::to_string(status));
+        const std::string target = "/unsafe/ran-" + std::to_string(status) + "-";
+        std::optional<Message> response;
+        // Until the server is used again after its earlier failures.
+        REQUIRE(waitFor([&] { response = scenario.send("i0", "POST", target); return scenario.fleet.countRuns("POST " + target) > 0; }, 20000));
+        REQUIRE(response);
+        CHECK(response->status() == (status == 500 ? 500 : 502));
+        CHECK(scenario.fleet.countRuns("POST " + target) == 1);
+        scenario.fleet.controlServer("s0", "fail_percent=0");
+        CHECK(waitFor([&] {
+            const auto recovered = scenario.send("i0", "GET", "/safe/recovered");
+            return recovered && recovered->status() == 200;
+        },
+            20000));
+    }
+}
+
+TEST_CASE("A request that may be repeated is sent to another server if a failing one refuses it without proof")
+{
+    Scenario scenario(1, { "s0", "s1" });
+    for (const int status : { 408, 421, 429, 503 }) {
+        CAPTURE(status);
+        scenario.fleet.controlServer("s0", "fail_percent=100\nfail_status=" + std::to_string(status));
+        const std::string target = "/safe/refused-" + std::to_string(status) + "-";
+        REQUIRE(waitFor([&] {
+            const auto response = scenario.send("i0", "GET", target);
+            CHECK((response && response->status() == 200));
+            return scenario.fleet.countRuns("s0", "GET " + target) > 0;
+        },
+            20000));
+        scenario.fleet.controlServer("s0", "fail_percent=0");
+    }
+}
+
 TEST_CASE("An answer that a server writes once more, on a connection in use again, reaches no other caller")
 {
     for (const char* mode : { "1", "2" }) {
--- a/tests/standin/server.cpp
+++ b/tests/standin/server.cpp
@@ -206,7 +206,7 @@
             }
             const std::string body = m_name + " ran " + request.method() + " " + request.target() + " " + request.body + "\n";
             if (chance("fail_percent"))
-                return writeAll(socket, makeResponse(500, "failed\n", headers));
+                return writeAll(socket, makeResponse(setting("fail_status", 500), "failed\n", headers));
             if (chance("mismatch_percent"))
                 headers["Cornelwind-Try"] = "another";
             std::string response = makeResponse(200, body, headers);
