Limit the memory of all responses together

Cause: the client bounded each response, at 64 MiB, and not their sum. The bound of one was the operator's limit on what a caller may send. Besides, the C library kept freed blocks, and a kept connection kept the last response written to it.

Change: a budget for all responses, a quarter of the memory that the settings of the platform state. While it is exceeded, the call with the largest body ends as if that body were too large; bodies up to 64 KiB never are. The limit of one response is fixed. Large blocks are returned to the system at once, responses are freed once they are written, and one copy less is made. Two metrics show the bytes held and the responses given up.

--- a/include/cornelwind/settings.h
+++ b/include/cornelwind/settings.h
@@ -62,6 +62,8 @@
     std::uint32_t maxConnections = 1000;
     /// Maximum size of the request line and the headers together.
     ByteCount maxHead { 16 * 1024 };
+    /// Memory that the process may use.
+    ByteCount memory { 512ULL * 1024 * 1024 };
     /// Maximum time to receive the head of a request, and again to receive its whole body. Each of the two timers is
     /// started once; arriving bytes do not restart it. The limits in a sheet can replace the first.
     Millis receiveTimeout { 5000 };
--- a/src/config/settings.cpp
+++ b/src/config/settings.cpp
@@ -10,6 +10,9 @@
     constexpr std::uint64_t MAX_MILLIS = 24ULL * 3600 * 1000;
     constexpr std::uint64_t MAX_KEYS = 1000000;
     constexpr std::uint64_t MAX_STORED_BYTES = 64ULL * 1024 * 1024;
+    constexpr std::uint64_t BYTES_PER_MEGABYTE = 1024 * 1024;
+    constexpr std::uint64_t MIN_MEMORY_MEGABYTES = 64;
+    constexpr std::uint64_t MAX_MEMORY_MEGABYTES = 1024 * 1024;
 
     constexpr Choice<const char*> logLevels[] = {
         { "debug", "debug" }, { "info", "info" }, { "warn", "warn" }, { "error", "error" }
@@ -81,6 +84,9 @@
         {
             reader.number("connections", m_settings.maxConnections, 1, MAX_CONNECTIONS);
             reader.strong("head_bytes", m_settings.maxHead, 256, MAX_HEAD_BYTES);
+            ByteCount memoryMegabytes { m_settings.memory.value() / BYTES_PER_MEGABYTE };
+            reader.strong("memory_mb", memoryMegabytes, MIN_MEMORY_MEGABYTES, MAX_MEMORY_MEGABYTES);
+            m_settings.memory = ByteCount { memoryMegabytes.value() * BYTES_PER_MEGABYTE };
             reader.millis("receive_ms", m_settings.receiveTimeout, 1, MAX_MILLIS);
             reader.millis("stop_ms", m_settings.shutdownTimeout, 1, MAX_MILLIS);
             reader.millis("stop_notice_ms", m_settings.stopNotice, 1, MAX_MILLIS);
--- a/src/shell/caller_handler.cpp
+++ b/src/shell/caller_handler.cpp
@@ -118,7 +118,7 @@
         request.exchange->readBody(effect.limit.value());
 }
 
-void CallerHandler::respond(ActiveRequest& request, Response response)
+void CallerHandler::respond(ActiveRequest& request, const Response& response)
 {
     if (!request.exchange)
         return;
@@ -137,8 +137,8 @@
         if (!key.empty())
             keys.emplace_back(key);
     }
-    Response response { 200, { { "Content-Type", "application/json" } }, boost::json::serialize(boost::json::object { { "keys", std::move(keys) } }) + "\n" };
-    respond(request, std::move(response));
+    const Response response { 200, { { "Content-Type", "application/json" } }, boost::json::serialize(boost::json::object { { "keys", std::move(keys) } }) + "\n" };
+    respond(request, response);
 }
 
 } // namespace cornelwind
--- a/src/shell/caller_handler.h
+++ b/src/shell/caller_handler.h
@@ -32,7 +32,7 @@
     /// Reads the body of a request, then reports BodyReceived, ReceiveFailed or CallerDisconnected.
     void readBody(ActiveRequest& request, const ReadBody& effect);
     /// Sends the response and ends the span. Has no effect if the caller has disconnected.
-    void respond(ActiveRequest& request, Response response);
+    void respond(ActiveRequest& request, const Response& response);
     /// Responds to a request for idempotency keys.
     void issueKeys(ActiveRequest& request, const IssueKeys& effect);
     /// Sets the result of the readiness check for balancers.
--- a/src/shell/commands.cpp
+++ b/src/shell/commands.cpp
@@ -15,6 +15,8 @@
 #include "random_bits.h"
 #include "request_timeline.h"
 
+#include <malloc.h>
+
 #include <array>
 #include <boost/json.hpp>
 #include <boost/url.hpp>
@@ -101,6 +103,14 @@
         return adapter;
     }
 
+    // Makes the C library return the memory of large messages to the system at once. Otherwise it keeps freed blocks for later
+    // use, and a process that has held large messages may need twice their size.
+    void returnLargeBlocks()
+    {
+        constexpr int largeBlockBytes = 128 * 1024;
+        mallopt(M_MMAP_THRESHOLD, largeBlockBytes);
+    }
+
     ExitCode serve(const Arguments& arguments)
     {
         if (!arguments.settings)
@@ -108,6 +118,7 @@
         auto settings = loadSettings(*arguments.settings);
         if (!settings)
             return ExitCode::InvalidInput;
+        returnLargeBlocks();
         configureLog(settings->name.value(), settings->logLevel);
         PlatformAdapter adapter = makePlatformAdapter(*settings, *arguments.settings);
         Instance instance(std::move(*settings), std::move(adapter));
--- a/src/shell/http_client.cpp
+++ b/src/shell/http_client.cpp
@@ -40,6 +40,9 @@
     // Interim responses, and late responses to earlier requests, before the expected response.
     constexpr int MAX_SKIPPED_RESPONSES = 8;
 
+    // A body of this size is never the reason why memory is short.
+    constexpr std::size_t SMALL_BODY_BYTES = 64 * 1024;
+
     // Keep-alive detects a vanished remote host after KEEPALIVE_IDLE_S + KEEPALIVE_PROBES * KEEPALIVE_INTERVAL_S = 3 s.
     constexpr int KEEPALIVE_IDLE_S = 1;
     constexpr int KEEPALIVE_INTERVAL_S = 1;
@@ -105,8 +108,18 @@
 
 /// The idle connections and the running calls of a client. The client and each call share its ownership.
 struct HttpClient::Shared {
+    explicit Shared(MemoryBudgetPtr budget)
+        : memory(std::move(budget))
+    {
+    }
+
+    /// Ends the call with the largest body until memory suffices or all bodies are small.
+    void enforceMemoryBudget();
+
+    MemoryBudgetPtr memory;
     ConnectionPool idle;
     std::unordered_map<CallId, std::weak_ptr<Exchange>> running;
+    std::uint64_t callsOverMemory = 0;
 };
 
 /// A running call, from connecting to the complete response.
@@ -120,6 +133,7 @@
         , m_id(id)
         , m_call(std::move(call))
         , m_handler(std::move(handler))
+        , m_memory(m_shared->memory)
     {
     }
 
@@ -146,7 +160,19 @@
 
     void cancel() { finish(m_sentAny ? TryResult::Cancelled : TryResult::NotSent); }
 
+    /// @return size of the body received so far, in bytes
+    std::size_t bodySize() const { return m_memory.bytes(); }
+
+    /// Ends the call because its body has become too large.
+    void endTooLarge() { finish(tooLargeResult()); }
+
 private:
+    /// A complete response with the memory that it holds.
+    struct HeldResponse {
+        Response response;
+        MemoryCharge memory;
+    };
+
     void connect()
     {
         ErrorCode error;
@@ -197,6 +223,8 @@
         if (m_call.method == "HEAD")
             m_parser->skip(true);
         http::async_read_header(m_socket, m_buffer, *m_parser, [self = shared_from_this()](ErrorCode error, std::size_t read) {
+            if (self->m_done)
+                return;
             self->m_receivedAny = self->m_receivedAny || read || self->m_buffer.size();
             if (error)
                 return self->finish(self->resultOf(error));
@@ -222,9 +250,15 @@
         if (m_parser->is_done())
             return complete();
         http::async_read_some(m_socket, m_buffer, *m_parser, [self = shared_from_this()](ErrorCode error, std::size_t read) {
+            if (self->m_done)
+                return;
             self->m_bodyBytes += read;
             if (error)
                 return self->finish(self->resultOf(error));
+            self->m_memory.set(self->m_parser->get().body().size());
+            self->m_shared->enforceMemoryBudget();
+            if (self->m_done)
+                return;
             if (self->m_bodyBytes > CHUNKED_SIZE_FACTOR * self->m_call.maxResponse + MAX_RESPONSE_HEAD_BYTES)
                 return self->finish(TryResult::Broken);
             self->readBody();
@@ -233,9 +267,10 @@
 
     void complete()
     {
-        auto response = std::make_shared<Response>();
+        auto held = std::make_shared<HeldResponse>(HeldResponse { {}, std::move(m_memory) });
+        Response& response = held->response;
         auto message = m_parser->release();
-        response->status = static_cast<std::uint16_t>(message.result_int());
+        response.status = static_cast<std::uint16_t>(message.result_int());
         for (const auto& field : message) {
             const std::string name(field.name_string());
             if (!m_call.echoHeader.empty() && beast::iequals(name, m_call.echoHeader)) {
@@ -246,10 +281,10 @@
                     continue;
             }
             if (!isHopByHop(name))
-                response->headers.push_back({ name, std::string(field.value()) });
+                response.headers.push_back({ name, std::string(field.value()) });
         }
-        response->body = std::move(message.body());
-        m_response = std::move(response);
+        response.body = std::move(message.body());
+        m_response = ResponsePtr(held, &response);
         m_reusable = m_sentAll && message.keep_alive() && !m_buffer.size();
         m_idleTime = idleTimeOf(message[http::field::keep_alive]);
         finish(TryResult::Answered);
@@ -280,11 +315,13 @@
         return m_reused ? TryResult::StaleConnection : TryResult::Crashed;
     }
 
+    // Without a stated length, a body beyond the limit may have no end and is no complete response.
+    TryResult tooLargeResult() const { return m_parser->content_length() ? TryResult::TooLarge : TryResult::Broken; }
+
     TryResult resultOf(ErrorCode error) const
     {
-        // Without a stated length, a body beyond the limit may have no end and is no complete response.
         if (error == http::error::body_limit)
-            return m_parser->content_length() ? TryResult::TooLarge : TryResult::Broken;
+            return tooLargeResult();
         if (error == http::error::end_of_stream || error == http::error::partial_message || error.category() == asio::error::get_system_category())
             return connectionLostResult();
         return error == asio::error::eof ? connectionLostResult() : TryResult::Broken;
@@ -297,6 +334,7 @@
         m_timer.cancel();
         m_connectTimer.cancel();
         m_shared->running.erase(m_id);
+        m_memory.set(0);
         if (m_reusable)
             m_shared->idle.release(m_call.address, std::move(m_socket), m_idleTime);
         else {
@@ -320,6 +358,8 @@
     beast::flat_buffer m_buffer { MAX_BUFFERED_BYTES };
     std::optional<http::response_parser<http::string_body>> m_parser;
     ResponsePtr m_response;
+    /// Memory of the body while it is received.
+    MemoryCharge m_memory;
     Duration m_idleTime {};
     /// Bytes received since the head of the response.
     std::size_t m_bodyBytes = 0;
@@ -334,9 +374,25 @@
     bool m_done = false;
 };
 
-HttpClient::HttpClient(asio::io_context& io)
+void HttpClient::Shared::enforceMemoryBudget()
+{
+    while (memory->isExceeded()) {
+        std::shared_ptr<Exchange> largest;
+        for (const auto& [id, weak] : running) {
+            auto exchange = weak.lock();
+            if (exchange && (!largest || exchange->bodySize() > largest->bodySize()))
+                largest = std::move(exchange);
+        }
+        if (!largest || largest->bodySize() <= SMALL_BODY_BYTES)
+            return;
+        ++callsOverMemory;
+        largest->endTooLarge();
+    }
+}
+
+HttpClient::HttpClient(asio::io_context& io, MemoryBudgetPtr memory)
     : m_io(io)
-    , m_shared(std::make_shared<Shared>())
+    , m_shared(std::make_shared<Shared>(std::move(memory)))
 {
 }
 
@@ -360,6 +416,11 @@
         exchange->cancel();
 }
 
+std::uint64_t HttpClient::callsOverMemory() const
+{
+    return m_shared->callsOverMemory;
+}
+
 void HttpClient::closeExpiredConnections()
 {
     m_shared->idle.closeExpired();
--- a/src/shell/http_client.h
+++ b/src/shell/http_client.h
@@ -3,6 +3,7 @@
 #include "cornelwind/event.h"
 #include "cornelwind/response.h"
 #include "cornelwind/types.h"
+#include "memory_budget.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -59,10 +60,15 @@
 /// and all of it arrived, unless HttpCall::allowCloseDelimited is set. A connection
 /// whose call was cancelled, timed out or failed is closed and never reused. A pooled
 /// connection is closed as soon as the server sends or closes; until then it keeps `io` running.
+///
+/// Response bodies count against a memory budget from their first byte until the response is destroyed. While it is exceeded, the
+/// call whose body has become largest ends as if the body had exceeded HttpCall::maxResponse, unless all are small. So servers that
+/// send without end cannot take the memory of the process, and calls with ordinary responses are not affected by them.
 class HttpClient {
 public:
     /// @param io runs the I/O and the handlers; must outlive the client
-    explicit HttpClient(boost::asio::io_context& io);
+    /// @param memory limits the size of all response bodies together
+    explicit HttpClient(boost::asio::io_context& io, MemoryBudgetPtr memory = std::make_shared<MemoryBudget>());
     ~HttpClient();
     HttpClient(const HttpClient&) = delete;
     HttpClient& operator=(const HttpClient&) = delete;
@@ -81,6 +87,9 @@
     /// @param id value returned by `start`
     void cancel(CallId id);
 
+    /// @return number of calls that ended because all response bodies together were too large
+    std::uint64_t callsOverMemory() const;
+
     /// Closes pooled connections whose idle time has expired. Call it periodically, because the pool runs no timer.
     void closeExpiredConnections();
 
--- a/src/shell/http_connection.cpp
+++ b/src/shell/http_connection.cpp
@@ -69,7 +69,10 @@
     const bool bodyRead = m_parser && m_parser->is_done();
     const bool keepAlive = bodyRead && m_keepAlive && !m_closeAfterResponse && !m_listener->draining;
     m_response = serializeResponse(response, m_head.method != "HEAD", keepAlive);
+    m_responseMemory.set(m_response.size());
     asio::async_write(m_socket, asio::buffer(m_response), [self = shared_from_this(), keepAlive](ErrorCode error, std::size_t) {
+        self->m_response = {};
+        self->m_responseMemory.set(0);
         if (error || !keepAlive)
             return self->lingerAndClose();
         self->awaitRequest();
--- a/src/shell/http_connection.h
+++ b/src/shell/http_connection.h
@@ -19,9 +19,10 @@
 /// Accepts connections and tracks the open ones. The server and each connection share its ownership.
 class HttpServer::Listener : public std::enable_shared_from_this<Listener> {
 public:
-    Listener(boost::asio::io_context& io, HttpHandler& handler, HttpLimits limits)
+    Listener(boost::asio::io_context& io, HttpHandler& handler, HttpLimits limits, MemoryBudgetPtr memory)
         : handler(handler)
         , limits(limits)
+        , memory(std::move(memory))
         , m_io(io)
         , m_acceptor(io)
     {
@@ -35,6 +36,7 @@
 
     HttpHandler& handler;
     HttpLimits limits;
+    MemoryBudgetPtr memory;
     std::unordered_set<Connection*> connections;
     bool draining = false;
 
@@ -50,6 +52,7 @@
         : m_socket(std::move(socket))
         , m_timer(m_socket.get_executor())
         , m_listener(std::move(listener))
+        , m_responseMemory(m_listener->memory)
     {
         m_listener->connections.insert(this);
     }
@@ -106,6 +109,7 @@
     std::optional<RequestParser> m_parser;
     HttpHead m_head;
     std::string m_response;
+    MemoryCharge m_responseMemory;
     std::array<char, 4096> m_discarded {};
     Phase m_phase = Phase::Idle;
     std::uint64_t m_timerGeneration = 0;
--- a/src/shell/http_server.cpp
+++ b/src/shell/http_server.cpp
@@ -79,8 +79,8 @@
         connection->restartIdleTimer();
 }
 
-HttpServer::HttpServer(asio::io_context& io, HttpHandler& handler, HttpLimits limits)
-    : m_listener(std::make_shared<Listener>(io, handler, limits))
+HttpServer::HttpServer(asio::io_context& io, HttpHandler& handler, HttpLimits limits, MemoryBudgetPtr memory)
+    : m_listener(std::make_shared<Listener>(io, handler, limits, std::move(memory)))
 {
 }
 
--- a/src/shell/http_server.h
+++ b/src/shell/http_server.h
@@ -4,6 +4,7 @@
 #include "cornelwind/error.h"
 #include "cornelwind/response.h"
 #include "cornelwind/types.h"
+#include "memory_budget.h"
 
 #include <boost/asio/io_context.hpp>
 
@@ -82,7 +83,8 @@
     /// @param io runs the I/O; must outlive the server
     /// @param handler receives the requests; must outlive the server
     /// @param limits initial limits; `setLimits` replaces some of them
-    HttpServer(boost::asio::io_context& io, HttpHandler& handler, HttpLimits limits);
+    /// @param memory counts the responses that are being written
+    HttpServer(boost::asio::io_context& io, HttpHandler& handler, HttpLimits limits, MemoryBudgetPtr memory);
     ~HttpServer();
     HttpServer(const HttpServer&) = delete;
     HttpServer& operator=(const HttpServer&) = delete;
--- a/src/shell/instance.cpp
+++ b/src/shell/instance.cpp
@@ -16,6 +16,8 @@
     constexpr Duration CLOSE_TIMEOUT = std::chrono::seconds(2);
     constexpr std::size_t MAX_EXPLAINED_DECISIONS = 50;
     constexpr std::uint32_t ADMIN_CONNECTIONS = 32;
+    // Responses may take this part of the memory of the process. A response that grows or is passed on exists twice for a moment.
+    constexpr std::uint64_t RESPONSE_MEMORY_PART = 4;
 
     Reducer makeReducer(const Settings& settings, const SheetReader& reader)
     {
@@ -70,7 +72,8 @@
     , m_closeTimer(m_io)
     , m_signals(m_io, SIGTERM, SIGINT, SIGHUP)
     , m_reducer(makeReducer(m_settings, m_adapter.sheetReader))
-    , m_client(m_io)
+    , m_memory(std::make_shared<MemoryBudget>(static_cast<std::size_t>(m_settings.memory.value() / RESPONSE_MEMORY_PART)))
+    , m_client(m_io, m_memory)
     , m_tracer(m_client, m_settings.traceCollector, m_settings.name.value())
     , m_callerHandler(m_requests, m_tracer, m_adapter.conventions, [this](EventBody body) { apply(std::move(body)); })
     , m_backendClient(m_requests, m_client, m_tracer, m_adapter.conventions, [this](EventBody body) { apply(std::move(body)); })
@@ -78,13 +81,13 @@
           m_io, m_requests, m_tracer, m_settings, [this](EventBody body) { apply(std::move(body)); },
           [this](peer::Envelope& message) { m_reducer.setSender(message); })
     , m_adminHandler(adminOperations())
-    , m_callerServer(m_io, m_callerHandler, httpLimitsOf(m_settings, m_settings.maxConnections))
-    , m_adminServer(m_io, m_adminHandler, httpLimitsOf(m_settings, ADMIN_CONNECTIONS))
+    , m_callerServer(m_io, m_callerHandler, httpLimitsOf(m_settings, m_settings.maxConnections), m_memory)
+    , m_adminServer(m_io, m_adminHandler, httpLimitsOf(m_settings, ADMIN_CONNECTIONS), m_memory)
 {
     if (m_settings.platform)
         m_platform = m_adapter.makeSource(m_io, m_client, *m_settings.platform, [this](EventBody body) { apply(std::move(body)); });
     if (m_settings.readiness)
-        m_readinessServer.emplace(m_io, m_callerHandler, httpLimitsOf(m_settings, ADMIN_CONNECTIONS));
+        m_readinessServer.emplace(m_io, m_callerHandler, httpLimitsOf(m_settings, ADMIN_CONNECTIONS), m_memory);
 }
 
 bool Instance::start(Reason& reason)
@@ -161,12 +164,13 @@
         m_peerMessenger.reply(*request, effect.response.get(), ErrorKind::None, Outcome::Ran);
         return m_tracer.end(request->span);
     }
+    if (!m_adapter.conventions.addFleetHeaders)
+        return m_callerHandler.respond(*request, *effect.response);
     Response response = *effect.response;
-    if (m_adapter.conventions.addFleetHeaders)
-        response.headers.push_back({ OUTCOME_HEADER, toString(Outcome::Ran) });
-    if (m_adapter.conventions.addFleetHeaders && !effect.nextKey.empty())
+    response.headers.push_back({ OUTCOME_HEADER, toString(Outcome::Ran) });
+    if (!effect.nextKey.empty())
         response.headers.push_back({ NEXT_KEY_HEADER, effect.nextKey });
-    m_callerHandler.respond(*request, std::move(response));
+    m_callerHandler.respond(*request, response);
 }
 
 void Instance::on(const Refuse& effect)
@@ -313,6 +317,8 @@
     ioStats.controlBytesSent = m_peerMessenger.controlBytes();
     ioStats.platformCalls = m_platform ? m_platform->calls() : 0;
     ioStats.spansDropped = m_tracer.dropped();
+    ioStats.responseBytes = m_memory->used();
+    ioStats.responsesOverMemory = m_client.callsOverMemory();
     ioStats.logLinesDropped = droppedLogLines();
     return ioStats;
 }
--- a/src/shell/instance.h
+++ b/src/shell/instance.h
@@ -97,6 +97,7 @@
     boost::asio::signal_set m_signals;
     Reducer m_reducer;
     RequestTable m_requests;
+    MemoryBudgetPtr m_memory;
     HttpClient m_client;
     Tracer m_tracer;
     CallerHandler m_callerHandler;
--- a/src/shell/metrics.cpp
+++ b/src/shell/metrics.cpp
@@ -145,6 +145,8 @@
     families.counter("cornelwind_control_sent_bytes_total", "Bytes sent to other entry instances, excluding forwarded requests and their responses.", stats.controlBytesSent);
     families.counter("cornelwind_platform_calls_total", "Calls made to the platform.", stats.platformCalls);
     families.counter("cornelwind_spans_dropped_total", "Trace spans dropped without export.", stats.spansDropped);
+    families.gauge("cornelwind_response_bytes", "Bytes of responses held in memory.", static_cast<double>(stats.responseBytes));
+    families.counter("cornelwind_responses_over_memory_total", "Responses of backend servers given up because all responses together took too much memory.", stats.responsesOverMemory);
     MetricFamily& decisions = families.family("cornelwind_decisions_total", "Decisions made, by kind.", MetricType::Counter);
     for (std::size_t i = 0; i < stats.decisions.size(); ++i) {
         ClientMetric metric;
--- a/src/shell/metrics.h
+++ b/src/shell/metrics.h
@@ -21,6 +21,10 @@
     std::uint64_t controlBytesSent = 0;
     std::uint64_t platformCalls = 0;
     std::uint64_t spansDropped = 0;
+    /// Bytes of responses that are held in memory.
+    std::uint64_t responseBytes = 0;
+    /// Responses given up because all together took too much memory.
+    std::uint64_t responsesOverMemory = 0;
     std::uint64_t logLinesDropped = 0;
     /// Number of decisions, indexed by `DecisionKind`.
     std::array<std::uint64_t, DECISION_KINDS> decisions {};
--- a/tests/endless_response_test.cpp
+++ b/tests/endless_response_test.cpp
@@ -7,11 +7,14 @@
 
 #include <boost/asio/io_context.hpp>
 
+#include <algorithm>
 #include <atomic>
 #include <chrono>
+#include <memory>
 #include <optional>
 #include <string>
 #include <thread>
+#include <vector>
 
 #include <sys/socket.h>
 
@@ -191,3 +194,77 @@
         CHECK(server.bytesSent() <= MAX_SENT);
     }
 }
+
+TEST_CASE("Bodies without end at many servers take no more memory than the budget, and a small response still arrives")
+{
+    constexpr std::size_t budget = 8 * 1024 * 1024;
+    // One read of each call may come before the budget is enforced.
+    constexpr std::size_t tolerance = 1024 * 1024;
+    constexpr int endlessCalls = 12;
+    const std::vector<Script> bodies {
+        { "a body that ends with the connection", "HTTP/1.1 200 OK\r\n\r\n", std::string(4096, 'x'), TryResult::Broken },
+        { "chunks without end", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", "1000\r\n" + std::string(4096, 'x') + "\r\n", TryResult::Broken },
+        { "a stated length within the limit", "HTTP/1.1 200 OK\r\nContent-Length: 60000000\r\n\r\n", std::string(4096, 'x'), TryResult::TooLarge },
+    };
+    for (const Script& body : bodies) {
+        CAPTURE(body.name);
+        boost::asio::io_context io;
+        const auto memory = std::make_shared<MemoryBudget>(budget);
+        HttpClient client(io, memory);
+        std::vector<std::unique_ptr<EndlessServer>> servers;
+        int ended = 0;
+        const auto start = [&](const Endpoint& address, const CallHandler& handler) {
+            HttpCall call;
+            call.address = address;
+            call.deadline = steadyNow() + CALL_TIME_LIMIT;
+            call.maxResponse = 64 * 1024 * 1024;
+            call.allowCloseDelimited = true;
+            client.start(std::move(call), handler);
+        };
+        for (int i = 0; i < endlessCalls; ++i) {
+            servers.push_back(std::make_unique<EndlessServer>(body));
+            start(servers.back()->address(), [&](const HttpResult& result) {
+                CHECK(std::string(toString(result.result)) == toString(body.result));
+                ++ended;
+            });
+        }
+        EndlessServer sound({ "a small response", COMPLETE, "", TryResult::Answered });
+        bool served = false;
+        std::size_t most = 0;
+        const Time begun = steadyNow();
+        for (bool asked = false; (ended < endlessCalls - 1 || !served) && steadyNow() < begun + CALL_TIME_LIMIT;) {
+            io.restart();
+            io.run_one_for(10ms);
+            most = std::max(most, memory->used());
+            if (ended && !asked) {
+                asked = true;
+                start(sound.address(), [&](const HttpResult& result) { served = result.response && result.response->body == "ok"; });
+            }
+        }
+        CHECK(served);
+        // The last call alone may stay below the budget until it is at its own limit.
+        CHECK(ended >= endlessCalls - 1);
+        CHECK(most <= budget + tolerance);
+        CHECK(client.callsOverMemory() >= endlessCalls - 2);
+    }
+}
+
+TEST_CASE("A response counts against the memory budget until it is destroyed")
+{
+    EndlessServer server({ "a response", "HTTP/1.1 200 OK\r\nContent-Length: 1000\r\n\r\n" + std::string(1000, 'x'), "", TryResult::Answered });
+    boost::asio::io_context io;
+    const auto memory = std::make_shared<MemoryBudget>();
+    ResponsePtr response;
+    {
+        HttpClient client(io, memory);
+        HttpCall call;
+        call.address = server.address();
+        call.deadline = steadyNow() + CALL_TIME_LIMIT;
+        client.start(std::move(call), [&](const HttpResult& result) { response = result.response; });
+        io.run();
+    }
+    REQUIRE(response);
+    CHECK(memory->used() == 1000);
+    response.reset();
+    CHECK(memory->used() == 0);
+}
--- a/tests/platform_process_test.cpp
+++ b/tests/platform_process_test.cpp
@@ -5,8 +5,13 @@
 
 #include <catch2/catch.hpp>
 
+#include <unistd.h>
+
+#include <algorithm>
+#include <atomic>
 #include <chrono>
 #include <csignal>
+#include <fstream>
 #include <string>
 #include <thread>
 #include <vector>
@@ -20,6 +25,16 @@
 
 int requestNumber = 0;
 
+/// @return the memory of a process that is resident, in KiB
+long residentKilobytes(pid_t pid)
+{
+    std::ifstream file("/proc/" + std::to_string(pid) + "/statm");
+    long total = 0;
+    long resident = 0;
+    file >> total >> resident;
+    return resident * (sysconf(_SC_PAGESIZE) / 1024);
+}
+
 /// Entry instances before backend servers that a store publishes.
 struct Scenario {
     Fleet fleet;
@@ -240,6 +255,47 @@
     }
 }
 
+TEST_CASE("Servers that send answers without end do not take the memory of the process, nor the answers of other callers")
+{
+    Scenario scenario(1, { "s0", "s1" }, 5, 64);
+    const std::string limits = R"(,"limits":{"maxBodyBytes":67108864}})";
+    std::string configuration = PlatformStore::configuration(2);
+    configuration.replace(configuration.size() - 1, 1, limits);
+    scenario.store.change({ scenario.store.item("op/config", configuration) });
+    REQUIRE(waitFor([&] { return scenario.fleet.statusJson("i0").find("\"sheet_version\":2") != std::string::npos; }));
+    for (const char* server : { "s0", "s1" })
+        scenario.fleet.controlServer(server, "endless_target=/unsafe/");
+    std::atomic<bool> stop = false;
+    std::vector<std::thread> callers;
+    for (int i = 0; i < 32; ++i) {
+        callers.emplace_back([&] {
+            while (!stop)
+                scenario.send("i0", "POST", "/unsafe/endless", 2000);
+        });
+    }
+    // The memory that the process may use unless its settings state another one.
+    constexpr long memoryKilobytes = 512 * 1024;
+    long most = 0;
+    int served = 0;
+    int lost = 0;
+    const auto until = Clock::now() + 6s;
+    while (Clock::now() < until && most <= memoryKilobytes) {
+        const auto response = scenario.send("i0", "GET", "/safe/sound", 2000);
+        lost += !response;
+        served += response && response->status() == 200;
+        most = std::max(most, residentKilobytes(scenario.fleet.instance("i0").pid()));
+    }
+    stop = true;
+    for (std::thread& caller : callers)
+        caller.join();
+    CAPTURE(most, served, lost);
+    CHECK(scenario.fleet.countRuns("POST /unsafe/endless") > 10);
+    CHECK(most <= memoryKilobytes);
+    CHECK(served > 20);
+    CHECK(lost == 0);
+    CHECK_FALSE(scenario.fleet.instance("i0").wait(0));
+}
+
 TEST_CASE("An answer that a server writes once more, on a connection in use again, reaches no other caller")
 {
     for (const char* mode : { "1", "2" }) {
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -303,13 +303,14 @@
 TEST_CASE("Platform limits are applied by name, and an invalid value is reported")
 {
     Settings settings;
-    settings.platformLimits = { "graceS=6", "drainS=2", "configS=2.5", "retryBudgetRatio=0.2", "budgetSlack=58", "unknown=x" };
+    settings.platformLimits = { "graceS=6", "drainS=2", "configS=2.5", "retryBudgetRatio=0.2", "budgetSlack=58", "memoryMb=624.5", "unknown=x" };
     Reasons reasons;
     CHECK(platform::applyLimits(settings, reasons));
     CHECK(settings.shutdownTimeout == Millis { 5600 });
     CHECK(settings.retryPercent == 20);
     CHECK(settings.fleetRetryAllowance == 58);
     CHECK(settings.changeDeadline == Millis { 2000 });
+    CHECK(settings.memory == ByteCount { 624'500'000 });
     settings.platformLimits = { "graceS=soon" };
     CHECK_FALSE(platform::applyLimits(settings, reasons));
     CHECK(reasons.front().detail == "graceS=soon");
--- a/tests/standin/server.cpp
+++ b/tests/standin/server.cpp
@@ -205,6 +205,8 @@
                 return false;
             }
             const std::string body = m_name + " ran " + request.method() + " " + request.target() + " " + request.body + "\n";
+            if (const std::string target = textSetting("endless_target"); !target.empty() && request.target().find(target) != std::string::npos)
+                return writeWithoutEnd(socket, headers);
             if (chance("fail_percent"))
                 return writeAll(socket, makeResponse(setting("fail_status", 500), "failed\n", headers));
             if (chance("mismatch_percent"))
@@ -229,6 +231,21 @@
             return writeAll(socket, response);
         }
 
+        // Writes a head and bytes until the caller closes: in the head, in a body without a stated length or in chunks, by turns.
+        // Returns false: the connection does not stay open.
+        bool writeWithoutEnd(const Socket& socket, const std::map<std::string, std::string>& headers)
+        {
+            static const std::string filler(64 * 1024, 'x');
+            static const std::string chunk = "10000\r\n" + filler + "\r\n";
+            const int form = m_endless++ % 3;
+            std::string head = makeResponse(200, "", headers);
+            const auto length = head.find("Content-Length: 0\r\n");
+            head.replace(length, std::string("Content-Length: 0\r\n").size(), form == 2 ? "Transfer-Encoding: chunked\r\n" : "");
+            writeAll(socket, form ? head : "HTTP/1.1 200 OK\r\nX: ");
+            while (writeAll(socket, form == 2 ? chunk : filler)) { }
+            return false;
+        }
+
         // Shuts down all connections, as if the process had crashed. Returns false: the connection does not stay open.
         bool crash()
         {
@@ -289,6 +306,7 @@
         const std::string m_name;
         const int m_slots;
         std::atomic<int> m_running = 0;
+        std::atomic<int> m_endless = 0;
         std::mutex m_mutex;
         std::mt19937_64 m_random;
         std::map<std::string, std::string> m_settings;
--- a/tests/standin/standin.h
+++ b/tests/standin/standin.h
@@ -37,6 +37,7 @@
 /// - `PUT /standin/control` sets faults as `key=value` lines. Keys that end in `_percent` give the share of the requests
 ///   that have the fault: `shed_percent`, `fail_percent` (status 500, or that of `fail_status`), `stall_percent` (service time of 60 s),
 ///   `truncate_percent`, `mismatch_percent` (wrong `Cornelwind-Try` in the response) and `close_before_answer_percent`.
+///   Requests with the text `endless_target` in their target get bytes without end until the caller closes.
 ///   `service_ms` is the service time, `slow_factor` a factor on it in percent, and `cold_factor` a further one that applies
 ///   until `cold_ms` after the start. `draining=1` adds `X-Draining` to responses, and `extra_headers` others, as `NAME: VALUE`
 ///   separated by `|`. `repeat_refusal=1` writes the last refusal once more before each response, 2 without its request id;
