Test calls that a silent outage of the store leaves unanswered at its end

This test plays the cause in simulated time: all instances lose the store silently, for lengths of 2 to 6.5 s in steps of 75 ms, so that the outage ends at every moment of a call; 3 s later all must follow two changes within 2 s each.

--- a/tests/store_contact_test.cpp
+++ b/tests/store_contact_test.cpp
@@ -203,6 +203,26 @@
     }
 }
 
+TEST_CASE("A call that the store left unanswered in the last moments of an outage delays no change after it")
+{
+    const Deployment& deployment = DEPLOYMENTS[0];
+    // The outages end at different moments of the calls, whose longest time limit is 4.3 s.
+    for (Millis length { 2000 }; length <= Millis { 6500 }; length += Millis { 75 }) {
+        CAPTURE(length.count());
+        SimulatedStoreFleet fleet(deployment.instances, deployment.zones, deployment.bound, 12);
+        fleet.run(START_TIME);
+        fleet.setAccessOfAll(StoreAccess::Silent);
+        fleet.run(length);
+        fleet.setAccessOfAll(StoreAccess::Served);
+        fleet.run(STABLE_TIME);
+        for (int number = 0; number < 2; ++number) {
+            publishChanges(fleet, number);
+            fleet.run(deployment.bound);
+            checkAllUpToDate(fleet);
+        }
+    }
+}
+
 TEST_CASE("In calm the instances of each zone make at most three calls to the store in two seconds")
 {
     for (const Deployment& deployment : DEPLOYMENTS) {
