Split the HTTP client: calls, request heads, and the client itself

The head of a request (request_head) and a running call (http_client_exchange) are now files of their own, in the manner of http_connection. A charge on the memory budget can no longer be moved; no other change of behaviour.

--- /dev/null
+++ b/src/shell/http_client_exchange.h
@@ -0,0 +1,115 @@
+#pragma once
+
+#include "connection_pool.h"
+#include "http_client.h"
+#include "memory_budget.h"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/string_body.hpp>
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+#include <unordered_map>
+#include <utility>
+
+namespace cornelwind {
+
+/// The idle connections and the running calls of a client. The client and each call share its ownership.
+struct HttpClient::Shared {
+    explicit Shared(MemoryBudgetPtr budget)
+        : memory(std::move(budget))
+    {
+    }
+
+    /// Ends the call with the largest body until memory suffices or all bodies are small.
+    void enforceMemoryBudget();
+
+    MemoryBudgetPtr memory;
+    ConnectionPool idle;
+    std::unordered_map<CallId, std::weak_ptr<Exchange>> running;
+    std::uint64_t callsOverMemory = 0;
+};
+
+/// A running call, from connecting to the complete response.
+class HttpClient::Exchange : public std::enable_shared_from_this<Exchange> {
+public:
+    Exchange(boost::asio::io_context& io, std::shared_ptr<Shared> shared, CallId id, HttpCall call, CallHandler handler);
+
+    void start();
+    void cancel() { finish(m_sentAny ? TryResult::Cancelled : TryResult::NotSent); }
+
+    /// @return size of the body received so far, in bytes
+    std::size_t bodySize() const { return m_memory.bytes(); }
+    /// Ends the call because its body has become too large.
+    void endTooLarge() { finish(tooLargeResult()); }
+
+private:
+    using ErrorCode = boost::system::error_code;
+    using Parser = boost::beast::http::response_parser<boost::beast::http::string_body>;
+
+    /// A complete response with the memory that it holds.
+    struct HeldResponse {
+        explicit HeldResponse(MemoryBudgetPtr budget)
+            : memory(std::move(budget))
+        {
+        }
+
+        Response response;
+        MemoryCharge memory;
+    };
+
+    // Limits the bytes received but not yet parsed: a head, or a chunk header or trailer.
+    static constexpr std::size_t MAX_BUFFERED_BYTES = 128 * 1024;
+
+    void connect();
+    void write();
+    void readHead();
+    void beginBody();
+    void readBody();
+    void complete();
+    /// Called for a response that echoes another request. On a reused connection it may be a late response to an earlier
+    /// request, and the expected one follows. On a new connection, or if the connection ends with the response, none can
+    /// follow and the response counts as broken.
+    void skipStaleResponse();
+    /// Reads the next response instead, unless so many came already that the server does not stop sending them.
+    void skipResponse();
+    TryResult connectionLostResult() const;
+    /// @return the result for a body beyond a limit: without a stated length it may have no end and is no complete response
+    TryResult tooLargeResult() const { return m_parser->content_length() ? TryResult::TooLarge : TryResult::Broken; }
+    TryResult resultOf(ErrorCode error) const;
+    /// Ends the call, unless it has ended before.
+    void finish(TryResult result);
+
+    boost::asio::ip::tcp::socket m_socket;
+    boost::asio::steady_timer m_timer;
+    boost::asio::steady_timer m_connectTimer;
+    std::shared_ptr<Shared> m_shared;
+    CallId m_id;
+    HttpCall m_call;
+    CallHandler m_handler;
+    std::string m_head;
+    boost::beast::flat_buffer m_buffer { MAX_BUFFERED_BYTES };
+    std::optional<Parser> m_parser;
+    ResponsePtr m_response;
+    /// Memory of the body while it is received.
+    MemoryCharge m_memory;
+    Duration m_idleTime {};
+    /// Bytes received since the head of the response.
+    std::size_t m_bodyBytes = 0;
+    int m_skippedResponses = 0;
+    bool m_connected = false;
+    bool m_sentAll = false;
+    bool m_reused = false;
+    bool m_sentAny = false;
+    bool m_receivedAny = false;
+    bool m_reusable = false;
+    bool m_echoed = false;
+    bool m_done = false;
+};
+
+} // namespace cornelwind
--- a/src/shell/memory_budget.h
+++ b/src/shell/memory_budget.h
@@ -40,11 +40,6 @@
         : m_budget(std::move(budget))
     {
     }
-    MemoryCharge(MemoryCharge&& other) noexcept
-        : m_budget(other.m_budget)
-        , m_bytes(std::exchange(other.m_bytes, 0))
-    {
-    }
     MemoryCharge(const MemoryCharge&) = delete;
     MemoryCharge& operator=(const MemoryCharge&) = delete;
     ~MemoryCharge() { set(0); }
--- a/tests/platform_process_test.cpp
+++ b/tests/platform_process_test.cpp
@@ -266,8 +266,10 @@
     for (const char* server : { "s0", "s1" })
         scenario.fleet.controlServer(server, "endless_target=/unsafe/");
     std::atomic<bool> stop = false;
+    constexpr int callerCount = 32;
     std::vector<std::thread> callers;
-    for (int i = 0; i < 32; ++i) {
+    callers.reserve(callerCount);
+    for (int i = 0; i < callerCount; ++i) {
         callers.emplace_back([&] {
             while (!stop)
                 scenario.send("i0", "POST", "/unsafe/endless", 2000);
