--- a/tests/config_test.cpp
+++ b/tests/config_test.cpp
@@ -153,6 +153,7 @@
         { "host name as address", "127.0.0.1:8082", "localhost:8082", ErrorKind::InvalidAddress, 7 },
         { "number as text", "[listen]", "[limits]\nconnections = \"5\"\n[listen]", ErrorKind::WrongType, 5 },
         { "out of range", "[listen]", "[limits]\nconnections = 0\n[listen]", ErrorKind::OutOfRange, 5 },
+        { "too little memory", "[listen]", "[limits]\nmemory_mb = 63\n[listen]", ErrorKind::OutOfRange, 5 },
         { "unknown log level", "[listen]", "[log]\nlevel = \"loud\"\n[listen]", ErrorKind::OutOfRange, 5 },
         { "invalid seed address", "admin = ", "seeds = [\"x\"]\nadmin = ", ErrorKind::InvalidAddress, 7 },
         { "route without address", "[listen]", "[[peer_route]]\ninstance = \"b\"\n[listen]", ErrorKind::MissingValue, 4 },
