Name the limits of backend servers as such, in a folder of their own

Cause: QuotaTable, QuotaExchange and QuotaCoordinator are about limits that backend servers name. Quotas of workspaces come next, and the names would mean two things. Change: they are ServerLimitTable, ServerLimitExchange and GrantCoordinator now, under src/decision/server_limits/. No logic changes. The build finds sources in subfolders of src/decision.

--- a/include/cornelwind/quota_table.h
+++ b/include/cornelwind/server_limit_table.h
@@ -38,10 +38,10 @@
 /// The backend servers that limit their rate, and what this entry instance may send to them.
 ///
 /// A limited server takes a request only against a grant, the right to send one request within `GRANT_LIFETIME`. The
-/// coordinator of the server hands grants out, see `QuotaExchange`. Servers without a limit need none.
+/// coordinator of the server hands grants out, see `ServerLimitExchange`. Servers without a limit need none.
 ///
 /// Memory: one row for each server that names a limit, or did so within `ENDED_LIFETIME`.
-class QuotaTable {
+class ServerLimitTable {
 public:
     /// Time within which a grant has to be used. Requests that wait use it at once, so one that is left over is given back soon.
     static constexpr Duration GRANT_LIFETIME = std::chrono::milliseconds(30);
--- a/include/cornelwind/server_pool.h
+++ b/include/cornelwind/server_pool.h
@@ -3,8 +3,8 @@
 #include "cornelwind/belief.h"
 #include "cornelwind/idle_reason.h"
 #include "cornelwind/peer_load_table.h"
-#include "cornelwind/quota_table.h"
 #include "cornelwind/selector.h"
+#include "cornelwind/server_limit_table.h"
 #include "cornelwind/sheet.h"
 #include "cornelwind/types.h"
 
@@ -154,8 +154,8 @@
     void recordPeerUse(ServerId server, bool answered, Time now);
 
     /// @return the servers that limit their rate, and the grants for them
-    QuotaTable& quotas() { return m_quotas; }
-    const QuotaTable& quotas() const { return m_quotas; }
+    ServerLimitTable& serverLimits() { return m_serverLimits; }
+    const ServerLimitTable& serverLimits() const { return m_serverLimits; }
 
     /// @return the requests that the other instances of the zone have in flight
     PeerLoadTable& peerLoads() { return m_peerLoads; }
@@ -173,7 +173,7 @@
     bool hasUsable(std::uint32_t service) const;
 
     /// @return when the first server of the service opens that accepts requests: `now` unless all are limited and the
-    ///     turn of this entry instance is later at each; see `QuotaTable::expectedOpening`
+    ///     turn of this entry instance is later at each; see `ServerLimitTable::expectedOpening`
     Time earliestOpening(std::uint32_t service, Time now) const;
 
     Server* find(ServerId id);
@@ -237,7 +237,7 @@
     std::unique_ptr<Selector> m_selector;
     ZoneName m_zone;
     BeliefTable m_beliefs;
-    QuotaTable m_quotas;
+    ServerLimitTable m_serverLimits;
     PeerLoadTable m_peerLoads;
     FleetPosition m_position;
 };
--- a/src/decision/health.cpp
+++ b/src/decision/health.cpp
@@ -203,7 +203,7 @@
             const bool isOwnTurn = position++ % view.live == view.rank;
             const bool hasLowTraffic = m_detector.assess(server->id).recentSamples < MIN_TRAFFIC_SAMPLES;
             // A probe is a request too.
-            const bool wantsNone = server->backoffUntil > context.now() || m_dependencies.pool.quotas().isLimited(server->id);
+            const bool wantsNone = server->backoffUntil > context.now() || m_dependencies.pool.serverLimits().isLimited(server->id);
             if (isOwnTurn && hasLowTraffic && !wantsNone && !config.healthPath.empty())
                 context.emit(SendProbe { server->id, server->config.address, config.healthPath, config.drainHeader, PROBE_TIME_LIMIT });
         }
--- a/src/decision/reducer_state.cpp
+++ b/src/decision/reducer_state.cpp
@@ -40,8 +40,8 @@
     , m_flow({ m_pool, m_losses, m_keys, m_quarantine, m_health, m_members,
           [this](ServerId server, std::uint64_t incarnation, const ServerNotice& notice, Context& context) { m_notices.onNotice(server, incarnation, notice, context); },
           [this](Fingerprint fingerprint, Context& context) { m_health.onCrash(fingerprint, context); } })
-    , m_quotas({ m_pool, m_members, m_gossip })
-    , m_notices({ m_pool, m_quotas, [this](ServerId server, Context& context) { m_health.onLeaving(server, context); } })
+    , m_serverLimits({ m_pool, m_members, m_gossip })
+    , m_notices({ m_pool, m_serverLimits, [this](ServerId server, Context& context) { m_health.onLeaving(server, context); } })
     , m_drain({ m_gossip, m_members, m_keys, m_flow }, settings.shutdownTimeout, settings.stopNotice)
     , m_serversPublishedSeparately(settings.platformForm == PlatformForm::Store)
 {
@@ -125,14 +125,14 @@
     else if (message.has_beliefs_reply())
         m_health.exchange().onBeliefsReply(message.beliefs_reply(), *sender, context);
     else if (message.has_limit_news())
-        m_quotas.onLimitNews(message.limit_news(), *sender, context);
+        m_serverLimits.onLimitNews(message.limit_news(), *sender, context);
     else if (message.has_grant_request())
-        m_quotas.onGrantRequest(message.grant_request(), *sender, context);
+        m_serverLimits.onGrantRequest(message.grant_request(), *sender, context);
     else if (message.has_grant_reply()) {
-        m_quotas.onGrantReply(message.grant_reply(), *sender, context);
+        m_serverLimits.onGrantReply(message.grant_reply(), *sender, context);
         m_flow.dispatchQueues(context);
     } else if (message.has_grant_return())
-        m_quotas.onGrantReturn(message.grant_return(), context);
+        m_serverLimits.onGrantReturn(message.grant_return(), context);
     else if (message.has_servers_request())
         sendServerList(message.servers_request(), *sender, context);
     else if (message.has_servers_news())
@@ -151,7 +151,7 @@
 {
     m_gossip.onTick(context);
     m_flow.onTick(context);
-    m_quotas.onTick(context);
+    m_serverLimits.onTick(context);
     m_flow.dispatchQueues(context);
     m_health.onTick(context);
     m_drain.onTick(context);
@@ -334,7 +334,7 @@
         for (const Server* server : m_pool.servers(i)) {
             const ServerAssessment assessment = m_health.assess(server->id);
             const bool idle = m_pool.placement(i) == Placement::ExpectedCost && server->config.zone == m_members.zone() && IdleReport::isIdle(*server, now);
-            const Limit* limit = m_pool.quotas().isLimited(server->id) ? m_pool.quotas().find(server->id) : nullptr;
+            const Limit* limit = m_pool.serverLimits().isLimited(server->id) ? m_pool.serverLimits().find(server->id) : nullptr;
             status.servers.push_back({ server->config.name, server->service, toString(server->state), server->avoided, server->inFlight,
                 server->config.slots.value(), server->ownSlots, assessment.score,
                 ejectionThreshold(m_activeSheet.current()->services[i].weighting), assessment.badShare, assessment.expectedShare,
--- a/src/decision/reducer_state.h
+++ b/src/decision/reducer_state.h
@@ -77,7 +77,7 @@
     Gossip m_gossip;
     Health m_health;
     RequestFlow m_flow;
-    QuotaExchange m_quotas;
+    ServerLimitExchange m_serverLimits;
     ServerNotices m_notices;
     Drain m_drain;
     DecisionLog m_decisions;
--- a/src/decision/quota_coordinator.cpp
+++ b/src/decision/server_limits/grant_coordinator.cpp
@@ -1,4 +1,4 @@
-#include "quota_coordinator.h"
+#include "server_limits/grant_coordinator.h"
 
 #include <algorithm>
 
@@ -18,7 +18,7 @@
 
 } // namespace
 
-Duration QuotaCoordinator::ask(ServerId server, const InstanceName& instance, Duration patience, double rate, Time now)
+Duration GrantCoordinator::ask(ServerId server, const InstanceName& instance, Duration patience, double rate, Time now)
 {
     Row& row = m_rows.try_emplace(server, Row { now, now, {} }).first->second;
     std::erase_if(row.waiting, [now](const Waiting& waiting) { return waiting.expiresAt <= now; });
@@ -35,14 +35,14 @@
     return wait;
 }
 
-void QuotaCoordinator::giveBack(ServerId server, double rate, Time now)
+void GrantCoordinator::giveBack(ServerId server, double rate, Time now)
 {
     const auto found = m_rows.find(server);
     if (found != m_rows.end() && rate > 0)
         found->second.dueAt = std::min(found->second.dueAt - intervalOf(rate), now);
 }
 
-std::vector<QuotaCoordinator::Grant> QuotaCoordinator::takeDue(const Rate& rate, Time now)
+std::vector<GrantCoordinator::Grant> GrantCoordinator::takeDue(const Rate& rate, Time now)
 {
     std::vector<Grant> grants;
     for (auto& [server, row] : m_rows) {
@@ -54,7 +54,7 @@
     return grants;
 }
 
-void QuotaCoordinator::grantDue(ServerId server, Row& row, double rate, Time now, std::vector<Grant>& grants)
+void GrantCoordinator::grantDue(ServerId server, Row& row, double rate, Time now, std::vector<Grant>& grants)
 {
     std::erase_if(row.waiting, [now](const Waiting& waiting) { return waiting.expiresAt <= now; });
     const Duration interval = intervalOf(rate);
@@ -65,7 +65,7 @@
     }
 }
 
-std::optional<Time> QuotaCoordinator::coordinatedSince(ServerId server) const
+std::optional<Time> GrantCoordinator::coordinatedSince(ServerId server) const
 {
     const auto found = m_rows.find(server);
     if (found == m_rows.end())
--- a/src/decision/quota_coordinator.h
+++ b/src/decision/server_limits/grant_coordinator.h
@@ -16,7 +16,7 @@
 /// instance that has waited longest is next.
 ///
 /// Memory: one row for each server coordinated here, with an entry for each instance that waits.
-class QuotaCoordinator {
+class GrantCoordinator {
 public:
     /// The right of an entry instance to send one request to a server.
     struct Grant {
--- a/src/decision/quota_exchange.cpp
+++ b/src/decision/server_limits/server_limit_exchange.cpp
@@ -1,4 +1,4 @@
-#include "quota_exchange.h"
+#include "server_limits/server_limit_exchange.h"
 
 #include "peer.pb.h"
 
@@ -46,14 +46,14 @@
 
 } // namespace
 
-QuotaExchange::QuotaExchange(Dependencies dependencies)
+ServerLimitExchange::ServerLimitExchange(Dependencies dependencies)
     : m_dependencies(dependencies)
 {
 }
 
-void QuotaExchange::onTick(Context& context)
+void ServerLimitExchange::onTick(Context& context)
 {
-    quotas().expire(context.now());
+    serverLimits().expire(context.now());
     observeMembers(context.now());
     passOverSilentMembers(context);
     returnUnused(context);
@@ -61,9 +61,9 @@
     handOut(context);
 }
 
-void QuotaExchange::onResponse(const Server& server, std::optional<double> perSecond, Context& context)
+void ServerLimitExchange::onResponse(const Server& server, std::optional<double> perSecond, Context& context)
 {
-    const LimitChange change = quotas().state(server.id, perSecond, context.now(), "a response", context.now());
+    const LimitChange change = serverLimits().state(server.id, perSecond, context.now(), "a response", context.now());
     if (change == LimitChange::None)
         return;
     reportChange(change, server.id, context);
@@ -72,19 +72,19 @@
     m_dependencies.gossip.sendToSubset(message, MAX_PEERS, context);
 }
 
-void QuotaExchange::onLimitNews(const peer::LimitNews& news, const MemberRecord& sender, Context& context)
+void ServerLimitExchange::onLimitNews(const peer::LimitNews& news, const MemberRecord& sender, Context& context)
 {
     for (const peer::LimitRow& row : news.rows())
         mergeRow(row, "instance " + sender.name.value(), context);
 }
 
-void QuotaExchange::sendAsks(Context& context)
+void ServerLimitExchange::sendAsks(Context& context)
 {
     const Time now = context.now();
     std::erase_if(m_asks, [now](const auto& row) { return row.second.until <= now; });
     Outbox outbox;
-    for (const auto& [server, patience] : quotas().wanted(now)) {
-        if (m_asks.contains(server) || quotas().expectedOpening(server, now) > now + patience)
+    for (const auto& [server, patience] : serverLimits().wanted(now)) {
+        if (m_asks.contains(server) || serverLimits().expectedOpening(server, now) > now + patience)
             continue;
         const InstanceName coordinator = coordinatorOf(server, now);
         m_asks[server] = { coordinator, now + std::max(patience, MIN_ASK_LIFETIME) };
@@ -100,10 +100,10 @@
     send(outbox, context);
 }
 
-void QuotaExchange::returnUnused(Context& context)
+void ServerLimitExchange::returnUnused(Context& context)
 {
     Outbox outbox;
-    for (const auto& [server, coordinator] : quotas().takeUnused(context.now())) {
+    for (const auto& [server, coordinator] : serverLimits().takeUnused(context.now())) {
         if (coordinator == m_dependencies.members.self())
             m_coordinator.giveBack(server, grantRate(server, context.now()), context.now());
         else
@@ -112,14 +112,14 @@
     send(outbox, context);
 }
 
-void QuotaExchange::onGrantReturn(const peer::GrantReturn& unused, Context& context)
+void ServerLimitExchange::onGrantReturn(const peer::GrantReturn& unused, Context& context)
 {
     for (const std::uint64_t server : unused.servers())
         m_coordinator.giveBack(ServerId { server }, grantRate(ServerId { server }, context.now()), context.now());
     handOut(context);
 }
 
-void QuotaExchange::send(Outbox& outbox, Context& context)
+void ServerLimitExchange::send(Outbox& outbox, Context& context)
 {
     for (auto& [name, message] : outbox) {
         if (const MemberRecord* member = m_dependencies.members.find(name))
@@ -128,7 +128,7 @@
 }
 
 // What was asked of a silent member is asked of the next one.
-void QuotaExchange::passOverSilentMembers(Context& context)
+void ServerLimitExchange::passOverSilentMembers(Context& context)
 {
     std::erase_if(m_silentUntil, [&](const auto& row) { return row.second <= context.now(); });
     std::erase_if(m_awaitedSince, [&](const auto& row) {
@@ -140,13 +140,13 @@
     });
 }
 
-void QuotaExchange::handOut(Context& context)
+void ServerLimitExchange::handOut(Context& context)
 {
     if (m_coordinator.empty())
         return;
     Outbox outbox;
     const auto rate = [&](ServerId server) { return grantRate(server, context.now()); };
-    for (const QuotaCoordinator::Grant& grant : m_coordinator.takeDue(rate, context.now())) {
+    for (const GrantCoordinator::Grant& grant : m_coordinator.takeDue(rate, context.now())) {
         if (grant.instance == m_dependencies.members.self()) {
             receiveGrant(grant.server, grant.instance, context);
             continue;
@@ -158,7 +158,7 @@
     send(outbox, context);
 }
 
-void QuotaExchange::onGrantRequest(const peer::GrantRequest& request, const MemberRecord& sender, Context& context)
+void ServerLimitExchange::onGrantRequest(const peer::GrantRequest& request, const MemberRecord& sender, Context& context)
 {
     auto message = std::make_shared<peer::Envelope>();
     for (const peer::GrantAsk& row : request.rows()) {
@@ -177,7 +177,7 @@
     handOut(context);
 }
 
-void QuotaExchange::onGrantReply(const peer::GrantReply& reply, const MemberRecord& sender, Context& context)
+void ServerLimitExchange::onGrantReply(const peer::GrantReply& reply, const MemberRecord& sender, Context& context)
 {
     m_awaitedSince.erase(sender.name);
     for (const peer::GrantRow& row : reply.rows()) {
@@ -191,22 +191,22 @@
 }
 
 // A grant for which nobody waits any more has been on its way for too long.
-void QuotaExchange::receiveGrant(ServerId server, const InstanceName& coordinator, Context& context)
+void ServerLimitExchange::receiveGrant(ServerId server, const InstanceName& coordinator, Context& context)
 {
     if (m_asks.erase(server))
-        quotas().addGrant(server, coordinator, context.now());
+        serverLimits().addGrant(server, coordinator, context.now());
 }
 
 // A request that does not wait for its turn may ask again when that is near.
-void QuotaExchange::expectGrant(ServerId server, Duration wait, Context& context)
+void ServerLimitExchange::expectGrant(ServerId server, Duration wait, Context& context)
 {
-    quotas().expectGrant(server, context.now() + wait);
+    serverLimits().expectGrant(server, context.now() + wait);
     const auto ask = m_asks.find(server);
     if (ask != m_asks.end() && context.now() + wait > ask->second.until)
         m_asks.erase(ask);
 }
 
-InstanceName QuotaExchange::coordinatorOf(ServerId server, Time now) const
+InstanceName ServerLimitExchange::coordinatorOf(ServerId server, Time now) const
 {
     InstanceName best;
     std::uint64_t highest = 0;
@@ -227,9 +227,9 @@
     return best;
 }
 
-double QuotaExchange::grantRate(ServerId server, Time now) const
+double ServerLimitExchange::grantRate(ServerId server, Time now) const
 {
-    const Limit* limit = quotas().find(server);
+    const Limit* limit = serverLimits().find(server);
     if (!limit || !limit->holds())
         return 0;
     const Time since = std::min(m_coordinator.coordinatedSince(server).value_or(now), m_membersChangedAt);
@@ -237,7 +237,7 @@
     return limit->perSecond * reachableShare() * (settled ? 1 : TAKEOVER_RATE);
 }
 
-void QuotaExchange::observeMembers(Time now)
+void ServerLimitExchange::observeMembers(Time now)
 {
     if (now < m_nextObservation)
         return;
@@ -250,7 +250,7 @@
     m_membersFingerprint = fingerprint;
 }
 
-double QuotaExchange::reachableShare() const
+double ServerLimitExchange::reachableShare() const
 {
     const auto& records = m_dependencies.members.records();
     const auto dead = std::count_if(records.begin(), records.end(), [](const auto& row) { return row.second.state == MemberState::Dead; });
@@ -258,7 +258,7 @@
     return reachable / (reachable + static_cast<double>(dead));
 }
 
-void QuotaExchange::mergeRow(const peer::LimitRow& row, const std::string& source, Context& context)
+void ServerLimitExchange::mergeRow(const peer::LimitRow& row, const std::string& source, Context& context)
 {
     const ServerId id { row.server() };
     const Server* server = m_dependencies.pool.find(id);
@@ -266,23 +266,23 @@
         return;
     const Time statedAt = context.now() - Duration { std::min(row.stated_ago_us(), MAX_AGE_US) };
     const bool limited = row.per_second() > 0;
-    reportChange(quotas().state(id, limited ? std::optional(row.per_second()) : std::nullopt, statedAt, source, context.now()), id, context);
+    reportChange(serverLimits().state(id, limited ? std::optional(row.per_second()) : std::nullopt, statedAt, source, context.now()), id, context);
 }
 
-void QuotaExchange::writeRow(ServerId id, peer::LimitRow& row, Time now) const
+void ServerLimitExchange::writeRow(ServerId id, peer::LimitRow& row, Time now) const
 {
     row.set_server(id.value());
     if (const Server* server = m_dependencies.pool.find(id))
         row.set_incarnation(server->config.incarnation);
-    const Limit* limit = quotas().find(id);
+    const Limit* limit = serverLimits().find(id);
     row.set_stated_ago_us(limit ? static_cast<std::uint64_t>((now - limit->statedAt).count()) : MAX_AGE_US);
     row.set_per_second(limit ? limit->perSecond : 0);
 }
 
-void QuotaExchange::reportChange(LimitChange change, ServerId id, Context& context) const
+void ServerLimitExchange::reportChange(LimitChange change, ServerId id, Context& context) const
 {
     const Server* server = m_dependencies.pool.find(id);
-    const Limit* limit = quotas().find(id);
+    const Limit* limit = serverLimits().find(id);
     if (change == LimitChange::None || !server || !limit)
         return;
     if (change == LimitChange::Ended)
--- a/src/decision/quota_exchange.h
+++ b/src/decision/server_limits/server_limit_exchange.h
@@ -4,7 +4,7 @@
 #include "cornelwind/server_pool.h"
 #include "gossip.h"
 #include "member_table.h"
-#include "quota_coordinator.h"
+#include "server_limits/grant_coordinator.h"
 
 #include <map>
 #include <memory>
@@ -31,7 +31,7 @@
 ///
 /// Messages: one to each of at most `MAX_PEERS` members for each limit that begins, changes or ends; for a grant, one to its
 /// coordinator, one or two in reply, and one to give it back if it is not used.
-class QuotaExchange {
+class ServerLimitExchange {
 public:
     struct Dependencies {
         ServerPool& pool;
@@ -39,7 +39,7 @@
         Gossip& gossip;
     };
 
-    explicit QuotaExchange(Dependencies dependencies);
+    explicit ServerLimitExchange(Dependencies dependencies);
 
     /// Asks for the grants wanted, and hands out those that are due.
     void onTick(Context& context);
@@ -83,11 +83,11 @@
     void mergeRow(const peer::LimitRow& row, const std::string& source, Context& context);
     void writeRow(ServerId server, peer::LimitRow& row, Time now) const;
     void reportChange(LimitChange change, ServerId server, Context& context) const;
-    QuotaTable& quotas() { return m_dependencies.pool.quotas(); }
-    const QuotaTable& quotas() const { return m_dependencies.pool.quotas(); }
+    ServerLimitTable& serverLimits() { return m_dependencies.pool.serverLimits(); }
+    const ServerLimitTable& serverLimits() const { return m_dependencies.pool.serverLimits(); }
 
     Dependencies m_dependencies;
-    QuotaCoordinator m_coordinator;
+    GrantCoordinator m_coordinator;
     std::unordered_map<ServerId, Ask> m_asks;
     /// When the first request was sent to a member that has not replied since.
     std::map<InstanceName, Time> m_awaitedSince;
--- a/src/decision/quota_table.cpp
+++ b/src/decision/server_limits/server_limit_table.cpp
@@ -1,4 +1,4 @@
-#include "cornelwind/quota_table.h"
+#include "cornelwind/server_limit_table.h"
 
 #include <algorithm>
 #include <cmath>
@@ -11,7 +11,7 @@
 
 } // namespace
 
-LimitChange QuotaTable::state(ServerId server, std::optional<double> perSecond, Time statedAt, const std::string& source, Time now)
+LimitChange ServerLimitTable::state(ServerId server, std::optional<double> perSecond, Time statedAt, const std::string& source, Time now)
 {
     const auto found = m_rows.find(server);
     const bool wasLimited = found != m_rows.end() && found->second.limit.holds();
@@ -38,35 +38,35 @@
     return LimitChange::Changed;
 }
 
-void QuotaTable::expire(Time now)
+void ServerLimitTable::expire(Time now)
 {
     std::erase_if(m_rows, [now](const auto& row) { return !row.second.limit.holds() && now - row.second.limit.statedAt > ENDED_LIFETIME; });
 }
 
-const Limit* QuotaTable::find(ServerId server) const
+const Limit* ServerLimitTable::find(ServerId server) const
 {
     const auto found = m_rows.find(server);
     return found == m_rows.end() ? nullptr : &found->second.limit;
 }
 
-const QuotaTable::Row* QuotaTable::findLimited(ServerId server) const
+const ServerLimitTable::Row* ServerLimitTable::findLimited(ServerId server) const
 {
     const auto found = m_rows.find(server);
     return found == m_rows.end() || !found->second.limit.holds() ? nullptr : &found->second;
 }
 
-bool QuotaTable::isLimited(ServerId server) const
+bool ServerLimitTable::isLimited(ServerId server) const
 {
     return findLimited(server);
 }
 
-bool QuotaTable::maySend(ServerId server, Time now) const
+bool ServerLimitTable::maySend(ServerId server, Time now) const
 {
     const Row* row = findLimited(server);
     return !row || (!row->grants.empty() && row->grants.back().expiresAt > now);
 }
 
-void QuotaTable::use(ServerId server, Time now)
+void ServerLimitTable::use(ServerId server, Time now)
 {
     const auto found = m_rows.find(server);
     if (found == m_rows.end())
@@ -77,7 +77,7 @@
         grants.erase(usable);
 }
 
-void QuotaTable::want(ServerId server, Duration patience, Time now)
+void ServerLimitTable::want(ServerId server, Duration patience, Time now)
 {
     const auto found = m_rows.find(server);
     if (found == m_rows.end())
@@ -86,7 +86,7 @@
     found->second.wantedUntil = std::max(found->second.wantedUntil, now + patience);
 }
 
-std::vector<std::pair<ServerId, Duration>> QuotaTable::wanted(Time now) const
+std::vector<std::pair<ServerId, Duration>> ServerLimitTable::wanted(Time now) const
 {
     std::vector<std::pair<ServerId, Duration>> servers;
     for (const auto& [server, row] : m_rows) {
@@ -97,7 +97,7 @@
     return servers;
 }
 
-void QuotaTable::addGrant(ServerId server, const InstanceName& coordinator, Time now)
+void ServerLimitTable::addGrant(ServerId server, const InstanceName& coordinator, Time now)
 {
     const auto found = m_rows.find(server);
     if (found == m_rows.end() || !found->second.limit.holds())
@@ -106,7 +106,7 @@
     found->second.expectedAt = {};
 }
 
-std::vector<std::pair<ServerId, InstanceName>> QuotaTable::takeUnused(Time now)
+std::vector<std::pair<ServerId, InstanceName>> ServerLimitTable::takeUnused(Time now)
 {
     std::vector<std::pair<ServerId, InstanceName>> unused;
     for (auto& [server, row] : m_rows) {
@@ -119,14 +119,14 @@
     return unused;
 }
 
-void QuotaTable::expectGrant(ServerId server, Time at)
+void ServerLimitTable::expectGrant(ServerId server, Time at)
 {
     const auto found = m_rows.find(server);
     if (found != m_rows.end())
         found->second.expectedAt = at;
 }
 
-Time QuotaTable::expectedOpening(ServerId server, Time now) const
+Time ServerLimitTable::expectedOpening(ServerId server, Time now) const
 {
     const Row* row = findLimited(server);
     return !row || maySend(server, now) ? now : std::max(row->expectedAt, now);
--- a/src/decision/server_notices.cpp
+++ b/src/decision/server_notices.cpp
@@ -29,9 +29,9 @@
     if (notice.backoff > Duration {})
         startBackoff(*server, notice.backoff, context);
     if (notice.limit.kind == StatedLimit::Kind::PerSecond)
-        m_dependencies.quotas.onResponse(*server, notice.limit.perSecond, context);
+        m_dependencies.serverLimits.onResponse(*server, notice.limit.perSecond, context);
     else if (notice.limit.kind == StatedLimit::Kind::None)
-        m_dependencies.quotas.onResponse(*server, std::nullopt, context);
+        m_dependencies.serverLimits.onResponse(*server, std::nullopt, context);
 }
 
 void ServerNotices::startBackoff(Server& server, Duration backoff, Context& context)
--- a/src/decision/server_notices.h
+++ b/src/decision/server_notices.h
@@ -3,7 +3,7 @@
 #include "context.h"
 #include "cornelwind/server_notice.h"
 #include "cornelwind/server_pool.h"
-#include "quota_exchange.h"
+#include "server_limits/server_limit_exchange.h"
 
 #include <functional>
 #include <unordered_map>
@@ -17,7 +17,7 @@
 public:
     struct Dependencies {
         ServerPool& pool;
-        QuotaExchange& quotas;
+        ServerLimitExchange& serverLimits;
         /// Called when a server says that it is shutting down.
         std::function<void(ServerId, Context&)> onLeaving;
     };
--- a/src/decision/server_pool.cpp
+++ b/src/decision/server_pool.cpp
@@ -43,7 +43,7 @@
             const bool isNew = server.id != id || server.config.incarnation != config.incarnation;
             if (isNew) {
                 m_beliefs.forget(id);
-                m_quotas.forget(id);
+                m_serverLimits.forget(id);
                 server.knownSince = now;
                 server.backoffUntil = {};
                 if (server.state == ServerState::Leaving)
@@ -107,7 +107,7 @@
             continue;
         random = random * 6364136223846793005ULL + 1442695040888963407ULL;
         const double cost = expectedCost(input, random);
-        if (!m_quotas.maySend(server->id, context.now))
+        if (!m_serverLimits.maySend(server->id, context.now))
             m_withoutGrant.push_back({ server->id, cost, input.risk });
         else if (!best || cost < bestCost) {
             best = server;
@@ -171,7 +171,7 @@
         const bool wouldBorrow = server->ownSlots <= server->inFlight && server->state != ServerState::Trial;
         if (!accepts(*server, context) || (!mayBorrow && wouldBorrow))
             continue;
-        if (!m_quotas.maySend(server->id, context.now))
+        if (!m_serverLimits.maySend(server->id, context.now))
             m_withoutGrant.push_back({ server->id, static_cast<double>(server->inFlight), 0 });
         else
             m_candidates.push_back({ server->id, server->inFlight, server->ownSlots, server->config.slots.value() });
@@ -210,7 +210,7 @@
 
 void ServerPool::begin(Server& server, Time now)
 {
-    m_quotas.use(server.id, now);
+    m_serverLimits.use(server.id, now);
     server.lastSentAt = now;
     ++server.inFlight;
 }
--- a/src/decision/server_pool_grants.cpp
+++ b/src/decision/server_pool_grants.cpp
@@ -22,7 +22,7 @@
     for (const Server* server : m_services[service]) {
         if ((server->state != ServerState::Serving && server->state != ServerState::Trial) || server->avoided)
             continue;
-        const Time opening = std::max(m_quotas.expectedOpening(server->id, now), server->backoffUntil);
+        const Time opening = std::max(m_serverLimits.expectedOpening(server->id, now), server->backoffUntil);
         earliest = std::min(earliest.value_or(opening), opening);
     }
     return earliest.value_or(now);
@@ -35,10 +35,10 @@
 {
     const Duration checkInterval = LIMIT_CHECK_INTERVAL * static_cast<std::int64_t>(std::max<std::uint32_t>(m_position.instances, 1));
     const auto isWorse = [&](const UngrantedServer& server) {
-        const Duration wait = context.waited + (m_quotas.expectedOpening(server.id, context.now) - context.now);
+        const Duration wait = context.waited + (m_serverLimits.expectedOpening(server.id, context.now) - context.now);
         if (wait < GRANT_REPLY_TIME && server.cost + GRANT_WAIT_COST < chosenCost)
             return false;
-        const bool dueForCheck = context.now - m_quotas.find(server.id)->statedAt >= checkInterval;
+        const bool dueForCheck = context.now - m_serverLimits.find(server.id)->statedAt >= checkInterval;
         return wait >= std::min(MAX_GRANT_WAIT, context.waited + context.patience) || (server.risk + MIN_RISK_GAIN > chosenRisk && !dueForCheck);
     };
     if (std::all_of(m_withoutGrant.begin(), m_withoutGrant.end(), isWorse))
@@ -52,13 +52,13 @@
 {
     const std::size_t count = std::min(m_withoutGrant.size(), std::max<std::size_t>(context.waiting, 1));
     const auto isBefore = [&](const UngrantedServer& a, const UngrantedServer& b) {
-        const Time openingA = m_quotas.expectedOpening(a.id, context.now);
-        const Time openingB = m_quotas.expectedOpening(b.id, context.now);
+        const Time openingA = m_serverLimits.expectedOpening(a.id, context.now);
+        const Time openingB = m_serverLimits.expectedOpening(b.id, context.now);
         return openingA != openingB ? openingA < openingB : a.cost < b.cost;
     };
     std::partial_sort(m_withoutGrant.begin(), m_withoutGrant.begin() + static_cast<std::ptrdiff_t>(count), m_withoutGrant.end(), isBefore);
     for (std::size_t i = 0; i < count; ++i)
-        m_quotas.want(m_withoutGrant[i].id, context.patience, context.now);
+        m_serverLimits.want(m_withoutGrant[i].id, context.patience, context.now);
 }
 
 } // namespace cornelwind
--- a/src/decision/server_pool_trials.cpp
+++ b/src/decision/server_pool_trials.cpp
@@ -58,8 +58,8 @@
         const double risk = m_beliefs.unhealthyProbability(server->id, context.now - trialDelay(*server));
         if (risk > lowestRisk)
             continue;
-        if (!m_quotas.maySend(server->id, context.now)) {
-            m_quotas.want(server->id, hasOther ? Duration {} : context.patience, context.now);
+        if (!m_serverLimits.maySend(server->id, context.now)) {
+            m_serverLimits.want(server->id, hasOther ? Duration {} : context.patience, context.now);
             continue;
         }
         lowestRisk = risk;
@@ -83,8 +83,8 @@
         const Duration overdue = context.now - trialDeadline(*server, context.manyRequestsLost);
         if (overdue <= longestOverdue)
             continue;
-        if (!m_quotas.maySend(server->id, context.now)) {
-            m_quotas.want(server->id, Duration {}, context.now);
+        if (!m_serverLimits.maySend(server->id, context.now)) {
+            m_serverLimits.want(server->id, Duration {}, context.now);
             continue;
         }
         longestOverdue = overdue;
@@ -123,7 +123,7 @@
         return IdleReason::NotServing;
     if (server.busyUntil > now || server.backoffUntil > now)
         return IdleReason::Shedding;
-    if (!m_quotas.maySend(server.id, now))
+    if (!m_serverLimits.maySend(server.id, now))
         return IdleReason::Limited;
     if (!m_beliefs.suspected(server.id))
         return IdleReason::NoRequest;
@@ -140,7 +140,7 @@
     for (const Server* server : m_services[service]) {
         const std::uint32_t serverSlots = server->config.slots.value();
         slots += serverSlots;
-        if (server->state != ServerState::Serving || m_beliefs.suspected(server->id) || !m_quotas.maySend(server->id, now))
+        if (server->state != ServerState::Serving || m_beliefs.suspected(server->id) || !m_serverLimits.maySend(server->id, now))
             continue;
         freeSlots += serverSlots - std::min(serverSlots, server->inFlight + m_peerLoads.peerInFlight(server->id));
     }
--- a/tests/quota_test.cpp
+++ b/tests/server_limit_table_test.cpp
@@ -1,6 +1,6 @@
 // Tests of the limits that backend servers name, and of the coordinator that hands out their grants.
-#include "cornelwind/quota_table.h"
-#include "quota_coordinator.h"
+#include "cornelwind/server_limit_table.h"
+#include "server_limits/grant_coordinator.h"
 
 #include <catch2/catch.hpp>
 
@@ -42,7 +42,7 @@
     };
     for (const Row& row : rows) {
         INFO(row.name);
-        QuotaTable table;
+        ServerLimitTable table;
         for (const Statement& statement : row.statements) {
             CHECK(table.state(SERVER, statement.perSecond, START + statement.at, "test", START + 10s) == statement.change);
             CHECK(table.isLimited(SERVER) == (statement.believed > 0));
@@ -53,7 +53,7 @@
 
 TEST_CASE("A limited server takes one request for each grant, and unused grants go back")
 {
-    QuotaTable table;
+    ServerLimitTable table;
     CHECK(table.maySend(SERVER, START));
     table.state(SERVER, 2, START, "test", START);
     CHECK_FALSE(table.maySend(SERVER, START));
@@ -63,7 +63,7 @@
     table.use(SERVER, START + 2ms);
     CHECK(table.maySend(SERVER, START + 2ms));
     CHECK(table.takeUnused(START + 2ms).empty());
-    const Time later = START + 1ms + QuotaTable::GRANT_LIFETIME;
+    const Time later = START + 1ms + ServerLimitTable::GRANT_LIFETIME;
     CHECK_FALSE(table.maySend(SERVER, later));
     const auto unused = table.takeUnused(later);
     REQUIRE(unused.size() == 1);
@@ -81,7 +81,7 @@
     };
     for (const Row& row : { Row { 0.5, 3 }, Row { 2, 13 }, Row { 2.5, 13 }, Row { 40, 13 }, Row { 300, 5 } }) {
         CAPTURE(row.rate, row.instances);
-        QuotaCoordinator coordinator;
+        GrantCoordinator coordinator;
         std::map<std::string, int> granted;
         int total = 0;
         constexpr auto length = 40s;
@@ -116,7 +116,7 @@
 {
     constexpr double rate = 4;
     const auto rateOf = [](ServerId) { return rate; };
-    QuotaCoordinator coordinator;
+    GrantCoordinator coordinator;
     const auto grantsAt = [&](Time now) {
         for (int i = 0; i < 20; ++i)
             coordinator.ask(SERVER, InstanceName { "i" + std::to_string(i) }, 10ms, rate, now);
