--- a/include/cornelwind/error.h
+++ b/include/cornelwind/error.h
@@ -37,6 +37,9 @@
     AnswerTooLarge,
     RequestQuarantined,
     Draining,
+    ApiKeyRejected,
+    ApiKeysUnconfirmed,
+    QuotaExceeded,
     // Errors in settings and sheet.
     FileUnreadable,
     SyntaxError,
--- a/include/cornelwind/sheet.h
+++ b/include/cornelwind/sheet.h
@@ -3,6 +3,7 @@
 #include "cornelwind/caller_limits.h"
 #include "cornelwind/error.h"
 #include "cornelwind/types.h"
+#include "cornelwind/workspace.h"
 
 #include <cstdint>
 #include <functional>
@@ -152,6 +153,8 @@
     /// Time after which an idempotent request is hedged, that is, sent to a second backend server as well.
     /// Empty if it is not hedged.
     std::optional<Millis> hedgeAfter;
+    /// Whether requests need no API key although the sheet lists workspaces.
+    bool isPublic = false;
 };
 
 /// The routing configuration of the fleet, which operators publish. Validated and immutable.
@@ -160,6 +163,8 @@
     SheetHash hash;
     std::vector<SheetService> services;
     std::vector<SheetRule> rules;
+    /// Null if the sheet lists no workspaces; then requests need no API key.
+    WorkspaceDirectoryPtr workspaces;
     /// Empty if the settings of the entry instance apply.
     std::optional<CallerLimits> callers;
     /// The text from which it was parsed. Entry instances send it to each other unchanged.
--- a/include/cornelwind/types.h
+++ b/include/cornelwind/types.h
@@ -19,6 +19,7 @@
 using ZoneName = StrongType<struct ZoneNameTag, std::string>;
 using ServiceName = StrongType<struct ServiceNameTag, std::string>;
 using ServerName = StrongType<struct ServerNameTag, std::string>;
+using WorkspaceName = StrongType<struct WorkspaceNameTag, std::string>;
 
 /// Random id of one process start of an entry instance.
 using Incarnation = StrongType<struct IncarnationTag, std::uint64_t>;
