End a call at once if its response has a status that is none

What callers saw: a backend server that answered 000 or 099 left the caller waiting until its deadline (504), since the status was taken for that of an interim response. 600 and 999 were passed on as answers. Cause: the HTTP client took every status below 200 but 101 for an interim one, and every other for final. Change: final statuses are 200 to 599, interim ones 100 and 102 to 199. Anything else ends the try as broken: the server counts as failing, a request that may be repeated goes to another server, and an order that may have run gets 502.

--- a/include/cornelwind/http_syntax.h
+++ b/include/cornelwind/http_syntax.h
@@ -15,4 +15,17 @@
 /// characters but tabs, and neither begins nor ends with a space or a tab. The empty text is valid.
 bool isFieldValue(std::string_view text);
 
+/// @return whether a status announces that a final response follows. 101 does not: it ends HTTP on the connection.
+constexpr bool isInterimStatus(unsigned status)
+{
+    constexpr unsigned switchingProtocols = 101;
+    return status >= 100 && status < 200 && status != switchingProtocols;
+}
+
+/// @return whether a status is one of a final response
+constexpr bool isFinalStatus(unsigned status)
+{
+    return status >= 200 && status < 600;
+}
+
 } // namespace cornelwind
--- a/src/shell/http_client_exchange.cpp
+++ b/src/shell/http_client_exchange.cpp
@@ -1,5 +1,6 @@
 #include "http_client_exchange.h"
 
+#include "cornelwind/http_syntax.h"
 #include "log.h"
 #include "request_head.h"
 
@@ -132,8 +133,12 @@
         self->m_receivedAny = self->m_receivedAny || read || self->m_buffer.size();
         if (error)
             return self->finish(self->resultOf(error));
-        if (self->m_parser->get().result_int() < 200 && self->m_parser->get().result_int() != 101)
+        const unsigned status = self->m_parser->get().result_int();
+        if (isInterimStatus(status))
             return self->skipResponse();
+        // A server in trouble may send any number. No protocol switch is ever asked for.
+        if (!isFinalStatus(status))
+            return self->finish(TryResult::Broken);
         self->beginBody();
     });
 }
--- a/tests/platform_process_test.cpp
+++ b/tests/platform_process_test.cpp
@@ -255,6 +255,35 @@
     }
 }
 
+TEST_CASE("A status that is none reaches no caller, and an order that may have run is not refused as not run")
+{
+    Scenario scenario(1, { "s0", "s1" });
+    const auto useAgain = [&](const std::string& target) {
+        return waitFor([&] {
+            scenario.send("i0", "GET", target);
+            return scenario.fleet.countRuns("s0", "GET " + target) > 0;
+        },
+            20000);
+    };
+    for (const char* status : { "000", "099", "600", "999" }) {
+        CAPTURE(status);
+        scenario.fleet.controlServer("s0", std::string("fail_percent=100\nfail_status=") + status);
+        const std::string order = std::string("/unsafe/none-") + status + "-";
+        REQUIRE(waitFor([&] {
+            const auto sent = Clock::now();
+            const auto response = scenario.send("i0", "POST", order, 3000);
+            CHECK(Clock::now() - sent < 1500ms);
+            CHECK((response && (response->status() == 200 || response->status() == 502)));
+            return scenario.fleet.countRuns("s0", "POST " + order) > 0;
+        },
+            20000));
+        const auto response = scenario.send("i0", "GET", std::string("/safe/none-") + status + "-");
+        CHECK((response && response->status() == 200));
+        scenario.fleet.controlServer("s0", "fail_percent=0");
+        REQUIRE(useAgain(std::string("/safe/recovered-") + status + "-"));
+    }
+}
+
 TEST_CASE("Servers that send answers without end do not take the memory of the process, nor the answers of other callers")
 {
     Scenario scenario(1, { "s0", "s1" }, 5, 64);
--- a/tests/standin/main.cpp
+++ b/tests/standin/main.cpp
@@ -21,7 +21,9 @@
 
 std::string makeResponse(int status, const std::string& body, const std::map<std::string, std::string>& headers)
 {
-    std::string text = "HTTP/1.1 " + std::to_string(status) + " Answer\r\nContent-Length: " + std::to_string(body.size()) + "\r\n";
+    const std::string digits = std::to_string(status);
+    const std::string padding(digits.size() < 3 ? 3 - digits.size() : 0, '0');
+    std::string text = "HTTP/1.1 " + padding + digits + " Answer\r\nContent-Length: " + std::to_string(body.size()) + "\r\n";
     for (const auto& [name, value] : headers)
         text += name + ": " + value + "\r\n";
     return text + "\r\n" + body;
