Spread observations of backend servers to all instances, by relays in each zone

What callers saw: in a fleet of 100 instances a third more of the requests fails than in one of 17 with the same servers, long after all faults. Cause: an observation went to 32 members at random, so that two thirds of a large fleet each lost a request of their own to the same server. Change: with more than 32 other members, those of the own zone get it directly, and two relays in each other zone forward it to theirs. Copies are recognised. Smaller fleets send as before. Ruled out: sending to all directly costs 66 messages between zones for each observation, relays cost 4.

--- a/src/decision/belief_exchange.cpp
+++ b/src/decision/belief_exchange.cpp
@@ -8,7 +8,6 @@
 namespace cornelwind {
 namespace {
 
-    constexpr std::size_t MAX_PEERS = 32;
     // Instances that start at the same time have few observations yet, so the reply of one may not be enough.
     constexpr std::size_t MAX_BELIEF_REQUESTS = 3;
     // After a longer time without a tick the process was paused and has missed observations of its peers.
@@ -33,6 +32,7 @@
 
 BeliefExchange::BeliefExchange(Dependencies dependencies)
     : m_dependencies(dependencies)
+    , m_broadcast(dependencies.members, dependencies.gossip)
 {
 }
 
@@ -41,6 +41,7 @@
     if (context.now() - m_lastTick > MAX_TICK_GAP)
         m_requestedFrom.clear();
     m_lastTick = context.now();
+    m_broadcast.expire(context.now());
     requestBeliefs(context);
     sendLoads(context);
 }
@@ -60,18 +61,20 @@
 // The outcome is sent at once. Otherwise each of many instances with few requests would lose one to the same server.
 void BeliefExchange::sendOutcome(ServerId server, Observation observation, Time sentAt, Context& context)
 {
-    auto message = std::make_shared<peer::Envelope>();
-    peer::OutcomeRow& row = *message->mutable_outcomes()->add_rows();
+    peer::Envelope message;
+    peer::OutcomeRow& row = *message.mutable_outcomes()->add_rows();
     row.set_server(server.value());
     row.set_observation(static_cast<std::uint32_t>(observation));
     row.set_sent_ago_us(ageInUs(sentAt, context.now()));
-    m_dependencies.gossip.sendToSubset(*message, MAX_PEERS, context);
+    m_broadcast.send(message, context);
 }
 
-void BeliefExchange::onOutcomes(const peer::Outcomes& outcomes, const MemberRecord& sender, Context& context)
+void BeliefExchange::onOutcomes(const peer::Envelope& message, const MemberRecord& sender, Context& context)
 {
+    if (!m_broadcast.receive(message, context))
+        return;
     BeliefTable& beliefs = m_dependencies.pool.beliefs();
-    for (const peer::OutcomeRow& row : outcomes.rows()) {
+    for (const peer::OutcomeRow& row : message.outcomes().rows()) {
         if (row.observation() >= OBSERVATIONS)
             continue;
         const ServerId server { row.server() };
--- a/src/decision/belief_exchange.h
+++ b/src/decision/belief_exchange.h
@@ -5,6 +5,7 @@
 #include "gossip.h"
 #include "loss_table.h"
 #include "member_table.h"
+#include "zone_broadcast.h"
 
 #include <set>
 #include <string>
@@ -15,7 +16,6 @@
 namespace peer {
     class BeliefsReply;
     class Loads;
-    class Outcomes;
 }
 
 /// Shares observations of backend servers, and the requests in flight at them, with the other entry instances.
@@ -26,7 +26,7 @@
 /// instance that starts, or that resumes after a pause of its process, requests the
 /// suspected servers from some members, so that it does not lose a request of its
 /// own to each unhealthy server.
-/// Messages: one for each such observation to each of at most `MAX_PEERS` members;
+/// Messages: one broadcast for each such observation, see `ZoneBroadcast`;
 /// loads within the availability zone only.
 class BeliefExchange {
 public:
@@ -50,7 +50,9 @@
     void observed(ServerId server, Observation observation, Time sentAt, const std::string& request, Context& context);
 
     /// Records observations of a peer.
-    void onOutcomes(const peer::Outcomes& outcomes, const MemberRecord& sender, Context& context);
+    ///
+    /// @param message contains outcomes
+    void onOutcomes(const peer::Envelope& message, const MemberRecord& sender, Context& context);
     /// Records the requests that a peer of the availability zone has in flight at backend servers.
     void onLoads(const peer::Loads& loads, const MemberRecord& sender, Context& context);
     /// Sends the suspected servers and the recovery model to a peer that requested them.
@@ -65,6 +67,7 @@
     void reportBelief(ServerId server, Observation observation, const std::string& source, Context& context) const;
 
     Dependencies m_dependencies;
+    ZoneBroadcast m_broadcast;
     Time m_lastTick;
     /// Members that were sent a request for their suspicions since the start or the last pause.
     std::set<InstanceName> m_requestedFrom;
--- a/src/decision/reducer_state.cpp
+++ b/src/decision/reducer_state.cpp
@@ -117,7 +117,7 @@
     if (message.has_evidence())
         m_health.onEvidence(message.evidence(), *sender, context);
     else if (message.has_outcomes())
-        m_health.exchange().onOutcomes(message.outcomes(), *sender, context);
+        m_health.exchange().onOutcomes(message, *sender, context);
     else if (message.has_loads())
         m_health.exchange().onLoads(message.loads(), *sender, context);
     else if (message.has_beliefs_request())
