Know up to when the sheet is proven to be the latest

Cause: an instance that is cut off, frozen or suspended cannot tell that an API key has been removed, and goes on with the sheet that it knows. Change: ConfigurationConfirmation holds the latest moment up to which every sheet is known here. It comes from calls to the platform, by the time at which they were made, and from acknowledgements of own pings; a late answer or message proves nothing. The shell reports the time that a machine was suspended, which the steady clock does not count. Nothing uses it yet.

--- a/include/cornelwind/event.h
+++ b/include/cornelwind/event.h
@@ -145,6 +145,16 @@
 struct PlatformReachable {
 };
 
+/// Every sheet that the platform acknowledged before a moment has been delivered, in events before this one.
+struct SheetConfirmed {
+    Time at;
+};
+
+/// The machine was suspended. The clock of `Event::at` did not count that time.
+struct MachineSuspended {
+    Duration time {};
+};
+
 /// The calls of this entry instance to the platform fail.
 struct PlatformUnreachable {
 };
@@ -191,7 +201,7 @@
 };
 
 using EventBody = std::variant<HeadReceived, BodyReceived, ReceiveFailed, CallerDisconnected, KeysRequested, TryFinished, OwnerReplied,
-    PeerMessageReceived, SheetFetched, InstancesListed, ServersListed, ServersPublished, PlatformReachable, PlatformUnreachable, SettingsChanged, ProbeFinished, StopRequested, Tick>;
+    PeerMessageReceived, SheetFetched, InstancesListed, ServersListed, ServersPublished, PlatformReachable, SheetConfirmed, MachineSuspended, PlatformUnreachable, SettingsChanged, ProbeFinished, StopRequested, Tick>;
 
 /// An input of the reducer.
 struct Event {
--- a/include/cornelwind/settings.h
+++ b/include/cornelwind/settings.h
@@ -48,6 +48,9 @@
     /// Time within which every entry instance that reaches the platform has to follow a change there; `DEFAULT_CHANGE_DEADLINE` if
     /// the platform sets none.
     std::optional<Millis> changeDeadline;
+    /// Time after which no entry instance may accept an API key that the sheet no longer lists, also one that reaches neither the
+    /// platform nor other instances. Empty if such an instance may go on with the sheet that it knows.
+    std::optional<Millis> keyRevocationDeadline;
     /// Listen address for the readiness checks of the balancer; empty if it sends them to the callers' listener.
     std::optional<Endpoint> readiness;
     /// Address of the trace collector; empty if no traces are exported.
--- a/src/decision/gossip.cpp
+++ b/src/decision/gossip.cpp
@@ -18,6 +18,10 @@
     constexpr Duration JOIN_TIMEOUT = std::chrono::seconds(2);
     // Minimum time between two requests for a sheet.
     constexpr Duration SHEET_REQUEST_INTERVAL = std::chrono::milliseconds(300);
+    // The upper half of an incarnation is distinct enough, and short in messages.
+    constexpr int SEQUENCE_SHIFT = 32;
+    // Minimum time between two pings that are sent to confirm the sheet.
+    constexpr Duration CONFIRMATION_PING_INTERVAL = std::chrono::milliseconds(300);
 
     std::uint32_t toMillis(Duration duration)
     {
@@ -32,6 +36,8 @@
     , m_members(members)
     , m_activeSheet(activeSheet)
     , m_contact(members, m_identity.platformIsCurrent, m_identity.changeDeadline)
+    , m_confirmation(m_identity.maxConfirmationAge)
+    , m_sequence(m_identity.incarnation.value() >> SEQUENCE_SHIFT)
 {
     m_members.setIncarnation(m_identity.incarnation);
 }
@@ -45,6 +51,7 @@
     }
     checkProbeTimeouts(context);
     m_members.expire(context);
+    refreshConfirmation(context);
     if (context.now() < m_nextRound)
         return;
     m_nextRound = context.now() + PROBE_INTERVAL;
@@ -106,6 +113,31 @@
     });
 }
 
+void Gossip::refreshConfirmation(Context& context)
+{
+    if (!m_confirmation.needsRefresh(context.now()) || context.now() < m_nextConfirmationPing)
+        return;
+    m_nextConfirmationPing = context.now() + CONFIRMATION_PING_INTERVAL;
+    if (MemberRecord* member = m_members.find(m_contact.latestOfZone(context.now()).instance))
+        probe(*member, context);
+}
+
+// The member made the acknowledgement after the ping was sent, however late it arrives. It knows each sheet that was acknowledged
+// before the time that it states, and so does this instance if it has the same sheet or a later one.
+void Gossip::confirmBy(const peer::Ack& ack, Time sentAt)
+{
+    const SheetVersion own = m_activeSheet.current() ? m_activeSheet.current()->version : SheetVersion {};
+    if (ack.has_confirmation_age_ms() && SheetVersion { ack.sheet().version() } <= own)
+        m_confirmation.confirm(sentAt - Millis { ack.confirmation_age_ms() });
+}
+
+void Gossip::onSuspended(Duration time)
+{
+    m_confirmation.onSuspended(time);
+    for (Probe& probe : m_probes)
+        probe.sentAt -= time;
+}
+
 void Gossip::probeIndirectly(Probe& probe, Context& context)
 {
     probe.indirect = true;
@@ -145,6 +177,8 @@
     auto reply = std::make_shared<peer::Envelope>();
     fillPiggyback(*reply->mutable_ack(), context);
     reply->mutable_ack()->set_sequence(ping.requested_by().empty() ? ping.sequence() : ping.requested_sequence());
+    if (const auto age = m_confirmation.age(context.now()); age && m_confirmation.isRequired())
+        reply->mutable_ack()->set_confirmation_age_ms(toMillis(*age) + 1);
     if (requester)
         send(*requester, reply, context);
     // That member may be unreachable from here, so the member that sent the ping gets the acknowledgement too.
@@ -158,6 +192,7 @@
     std::erase_if(m_probes, [&](const Probe& probe) {
         if (probe.sequence != ack.sequence())
             return false;
+        confirmBy(ack, probe.sentAt);
         MemberRecord* target = m_members.find(probe.target);
         if (target && target == &sender)
             target->answersDirectly = !probe.indirect;
--- a/src/decision/gossip.h
+++ b/src/decision/gossip.h
@@ -4,6 +4,7 @@
 #include "context.h"
 #include "member_table.h"
 #include "platform_contact.h"
+#include "workspaces/configuration_confirmation.h"
 
 #include <cstdint>
 #include <memory>
@@ -40,6 +41,8 @@
         bool platformIsCurrent = false;
         /// See `Settings::changeDeadline`.
         Duration changeDeadline {};
+        /// Oldest confirmation of the sheet with which API keys are accepted; see `ConfigurationConfirmation`.
+        std::optional<Duration> maxConfirmationAge {};
     };
 
     Gossip(Identity identity, MemberTable& members, ActiveSheet& activeSheet);
@@ -86,6 +89,12 @@
     void platformUnreachable(Context& context);
     /// @return which entry instances of the availability zone are in contact with the platform
     const PlatformContact& contact() const { return m_contact; }
+    /// Records that every sheet that the platform acknowledged before `at` is known here.
+    void confirmSheet(Time at) { m_confirmation.confirm(at); }
+    /// @return up to when the sheet here is known to be the latest
+    const ConfigurationConfirmation& confirmation() const { return m_confirmation; }
+    /// Counts a time in which the machine was suspended toward the age of the confirmation and of pings under way.
+    void onSuspended(Duration time);
     /// @return whether the start is complete: each entry instance that the platform lists has been heard of, or
     ///     the platform is always current, or the time to wait for them is over
     bool joined(Time now) const;
@@ -111,6 +120,10 @@
     /// Asks other members to ping a target that did not answer. Marks it as suspected if they get no answer either.
     void checkProbeTimeouts(Context& context);
     void probe(MemberRecord& member, Context& context);
+    /// Pings the member that has heard from the platform last, if the confirmation of the sheet grows old.
+    void refreshConfirmation(Context& context);
+    /// Confirms the sheet by what a member states in reply to a ping that was sent at `sentAt`.
+    void confirmBy(const peer::Ack& ack, Time sentAt);
     void probeIndirectly(Probe& probe, Context& context);
     void pingSeeds(Context& context);
     void onPing(const peer::Ping& ping, MemberRecord& sender, Context& context);
@@ -121,13 +134,16 @@
     MemberTable& m_members;
     ActiveSheet& m_activeSheet;
     PlatformContact m_contact;
+    ConfigurationConfirmation m_confirmation;
+    Time m_nextConfirmationPing;
     /// Answer of the platform that the zone was told of last.
     std::optional<Time> m_announcedContact;
     std::vector<Probe> m_probes;
     /// Target of the latest probe; the next round continues after it by name.
     InstanceName m_lastProbed;
-    /// Sequence number of the latest ping.
-    std::uint64_t m_sequence = 0;
+    /// Sequence number of the latest ping. It starts at the incarnation, so that no acknowledgement of a ping of an earlier start
+    /// matches.
+    std::uint64_t m_sequence;
     Time m_start;
     Time m_nextRound;
     Time m_sheetRequestedAt;
--- a/src/decision/reducer_state.cpp
+++ b/src/decision/reducer_state.cpp
@@ -18,9 +18,18 @@
     // Minimum time between two attempts to catch up.
     constexpr Duration CATCH_UP_INTERVAL = std::chrono::milliseconds(300);
 
+    // The rest of the deadline covers clocks of different speed.
+    std::optional<Duration> maxConfirmationAge(const Settings& settings)
+    {
+        constexpr std::int64_t percentOfDeadline = 90;
+        if (!settings.keyRevocationDeadline)
+            return std::nullopt;
+        return Duration { *settings.keyRevocationDeadline } * percentOfDeadline / 100;
+    }
+
     Gossip::Identity makeIdentity(const Settings& settings, Incarnation incarnation)
     {
-        return { settings.name, settings.zone, settings.advertised.value_or(settings.peers), incarnation, settings.seeds, settings.platformForm == PlatformForm::Store, settings.changeDeadline.value_or(Settings::DEFAULT_CHANGE_DEADLINE) };
+        return { settings.name, settings.zone, settings.advertised.value_or(settings.peers), incarnation, settings.seeds, settings.platformForm == PlatformForm::Store, settings.changeDeadline.value_or(Settings::DEFAULT_CHANGE_DEADLINE), maxConfirmationAge(settings) };
     }
 
     KeyRegistry::Limits makeKeyLimits(const Settings& settings)
--- a/src/shell/instance.cpp
+++ b/src/shell/instance.cpp
@@ -123,7 +123,17 @@
     }
 }
 
+// The time spent suspended has to be known before anything is decided that depends on the age of knowledge.
 void Instance::apply(EventBody body)
+{
+    if (const Duration suspended = m_suspensionClock.takeSuspended(); suspended > Duration {}) {
+        logMessage(LogLevel::Warn, LogComponent::Main, "The machine was suspended for " + std::to_string(std::chrono::duration_cast<Millis>(suspended).count()) + " ms.");
+        applyNow(MachineSuspended { suspended });
+    }
+    applyNow(std::move(body));
+}
+
+void Instance::applyNow(EventBody body)
 {
     EffectList effects = std::exchange(m_effectBuffer, {});
     guard([&] { m_reducer.apply({ steadyNow(), randomBits(), std::move(body) }, effects); });
--- a/src/shell/instance.h
+++ b/src/shell/instance.h
@@ -14,6 +14,7 @@
 #include "platform_source.h"
 #include "request_log.h"
 #include "request_table.h"
+#include "suspension_clock.h"
 #include "trace.h"
 
 #include <boost/asio/io_context.hpp>
@@ -62,6 +63,7 @@
     template <typename Action>
     void guard(const Action& action);
     void apply(EventBody body);
+    void applyNow(EventBody body);
     void perform(const Effect& effect);
     void on(const ReadBody& effect);
     void on(const SendTry& effect) { m_backendClient.send(effect); }
@@ -109,6 +111,7 @@
     std::optional<HttpServer> m_readinessServer;
     std::unique_ptr<PlatformSource> m_platform;
     RequestLog m_requestLog;
+    SuspensionClock m_suspensionClock;
     /// Reused by `apply` to avoid an allocation for each event.
     EffectList m_effectBuffer;
     IoStats m_ioStats;
--- a/src/shell/metadata_store_watcher.cpp
+++ b/src/shell/metadata_store_watcher.cpp
@@ -91,6 +91,8 @@
     m_suspended = false;
     m_callInProgress = true;
     m_calledAt = m_timer->now();
+    // After a failure or a pause the first call returns at once, and so shows whether the store is reached.
+    m_callWait = m_state == State::Watch && m_wasAnswered ? m_wait : Millis { 0 };
     ++m_calls;
     const auto handler = [this, callNumber = ++m_callNumber](const StoreReply& reply) { onReply(callNumber, reply); };
     switch (m_state) {
@@ -101,8 +103,7 @@
         m_call = m_store->readServers(m_nextPage, handler);
         return;
     case State::Watch:
-        // After a failure or a pause the first call returns at once, and so shows whether the store is reached.
-        m_call = m_store->watch(m_revision, m_wasAnswered ? m_wait : Millis { 0 }, handler);
+        m_call = m_store->watch(m_revision, m_callWait, handler);
         return;
     }
 }
@@ -157,6 +158,7 @@
         if (change.sheet)
             m_handler(SheetFetched { *change.sheet });
     }
+    m_handler(SheetConfirmed { m_calledAt });
     // The watch starts at this revision, so it reports changes made during the following reads.
     m_revision = reply.revision;
     call();
@@ -180,6 +182,13 @@
     call();
 }
 
+// A reply without changes was held back for the whole wait. Any other reply may have been made right after the call.
+Time MetadataStoreWatcher::replyMadeAfter(const StoreReply& reply) const
+{
+    const bool waited = reply.changes.empty() && reply.unreadable.empty() && reply.revision <= m_revision;
+    return waited ? std::min<Time>(m_calledAt + m_callWait, m_timer->now()) : m_calledAt;
+}
+
 void MetadataStoreWatcher::onChanges(const StoreReply& reply)
 {
     ServersPublished servers;
@@ -196,6 +205,7 @@
         servers.revision = reply.revision;
         m_handler(std::move(servers));
     }
+    m_handler(SheetConfirmed { replyMadeAfter(reply) });
     m_revision = std::max(m_revision, reply.revision);
     // Changes often come in bursts. Waiting before the next call lets one call receive a whole burst.
     scheduleCall(reply.changes.empty() ? Duration {} : Duration { BATCH_DELAY });
--- a/src/shell/metadata_store_watcher.h
+++ b/src/shell/metadata_store_watcher.h
@@ -54,6 +54,8 @@
     void onSheetRead(const StoreReply& reply);
     void onServersRead(const StoreReply& reply);
     void onChanges(const StoreReply& reply);
+    /// @return the latest moment of which the reply to the call in progress proves that the store made it later
+    Time replyMadeAfter(const StoreReply& reply) const;
     /// Resets the state so that the next call starts to read all values again.
     void restartFromFullRead();
     void scheduleCall(Duration delay);
@@ -82,6 +84,8 @@
     bool m_suspended = false;
     bool m_callInProgress = false;
     Time m_calledAt;
+    /// Time for which the store may hold the call in progress back without a change.
+    Millis m_callWait {};
     /// Longest time that a watch waits for a change.
     Millis m_wait {};
     /// Whether the latest call got an answer.
