Check API keys, and tell backend servers the workspace of a request

Cause: with workspaces in the configuration, the caller's key was passed on to the server, unknown keys ran, and no server learned whose request it ran. A request without a valid key gets 401, an instance that cannot confirm its sheet answers 503 and is not ready. Servers get the name of the workspace, never the key, and never the name that a caller stated. The priority of a workspace goes before that of the rule. Without workspaces nothing changes.

--- a/include/cornelwind/decision.h
+++ b/include/cornelwind/decision.h
@@ -60,10 +60,12 @@
     EntryInvalid,
     /// This entry instance starts or stops watching the platform for its availability zone.
     WatchChanged,
+    /// The sheet is known to be recent again, or no longer, so that API keys are accepted or refused.
+    ApiKeysConfirmed,
 };
 
 /// Number of values of `DecisionKind`.
-inline constexpr std::size_t DECISION_KINDS = 25;
+inline constexpr std::size_t DECISION_KINDS = 26;
 
 /// @return the name used in logs, metrics and explanations
 const char* toString(DecisionKind);
--- a/include/cornelwind/effect.h
+++ b/include/cornelwind/effect.h
@@ -27,6 +27,14 @@
     ByteCount limit;
 };
 
+/// What the receiver of a request learns about its workspace.
+struct WorkspaceLabel {
+    /// Whether the sheet lists workspaces. Then the receiver gets neither the API key nor the workspace that the caller stated.
+    bool isSet = false;
+    /// Workspace of the request; empty if it belongs to none.
+    WorkspaceName name;
+};
+
 /// Send a request to a backend server, then report TryFinished.
 struct SendTry {
     RequestId request;
@@ -45,6 +53,7 @@
     std::string shedHeader;
     /// Header by which the backend server announces its shutdown.
     std::string drainHeader;
+    WorkspaceLabel workspace {};
 };
 
 /// Abort a try and close its connection, then report TryFinished.
@@ -59,6 +68,7 @@
     Endpoint address;
     /// Time until the deadline of the request.
     Millis remaining;
+    WorkspaceLabel workspace {};
 };
 
 /// Respond to a request with the response of a backend server.
--- a/include/cornelwind/event.h
+++ b/include/cornelwind/event.h
@@ -37,6 +37,10 @@
     std::string_view host = {};
     /// Request name shown in the logs, as the caller sent it; may be empty.
     std::string_view label = {};
+    /// API key of the caller; nothing if the request has none, or more than one.
+    std::optional<std::string_view> apiKey = {};
+    /// Workspace that the entry instance found which forwarded the request; empty if there is none.
+    std::string_view workspace = {};
 };
 
 /// The whole body of a request was received.
--- a/src/decision/reducer_state.cpp
+++ b/src/decision/reducer_state.cpp
@@ -46,7 +46,7 @@
     , m_members(settings.name, settings.zone, settings.peerRoutes)
     , m_gossip(makeIdentity(settings, incarnation), m_members, m_activeSheet)
     , m_health({ m_pool, m_quarantine, m_members, m_gossip, m_losses })
-    , m_flow({ m_pool, m_losses, m_keys, m_quarantine, m_health, m_members,
+    , m_flow({ m_pool, m_losses, m_keys, m_quarantine, m_health, m_members, m_gossip.confirmation(),
           [this](ServerId server, std::uint64_t incarnation, const ServerNotice& notice, Context& context) { m_notices.onNotice(server, incarnation, notice, context); },
           [this](Fingerprint fingerprint, Context& context) { m_health.onCrash(fingerprint, context); } })
     , m_serverLimits({ m_pool, m_members, m_gossip })
@@ -312,15 +312,38 @@
 // bring an old sheet into force.
 void Reducer::State::updateReady(Context& context)
 {
-    if (m_ready || m_drain.stopping() || !m_activeSheet.current() || !m_gossip.joined(context.now()))
+    if (m_drain.stopping() || !m_activeSheet.current())
+        return;
+    if (m_started)
+        return reportApiKeysConfirmed(context);
+    if (!m_gossip.joined(context.now()) || !keysConfirmed(context.now()))
         return;
     if (m_serversPublishedSeparately && !m_serverRegistry.hasServerList())
         return;
+    m_started = true;
     m_ready = true;
     m_flow.startAccepting();
     context.emit(SetReady { true });
 }
 
+bool Reducer::State::keysConfirmed(Time now) const
+{
+    return !m_activeSheet.current()->workspaces || m_gossip.confirmation().holds(now);
+}
+
+// An instance that does not know whether API keys are still valid refuses most requests, so the balancer should not send it any.
+void Reducer::State::reportApiKeysConfirmed(Context& context)
+{
+    const bool confirmed = keysConfirmed(context.now());
+    if (confirmed == m_ready)
+        return;
+    m_ready = confirmed;
+    const auto age = m_gossip.confirmation().age(context.now());
+    context.report(DecisionKind::ApiKeysConfirmed, "sheet", confirmed ? "confirmed again; requests with API keys are accepted" : "not confirmed; requests with API keys are refused",
+        age ? "last confirmed " + std::to_string(std::chrono::duration_cast<Millis>(*age).count()) + " ms ago" : "never confirmed");
+    context.emit(SetReady { confirmed });
+}
+
 Status Reducer::State::status(Time now) const
 {
     Status status;
--- a/src/decision/reducer_state.h
+++ b/src/decision/reducer_state.h
@@ -68,6 +68,9 @@
     void updateWatch(Context& context);
     void reportWatch(Context& context) const;
     void updateReady(Context& context);
+    /// @return whether the API keys of the sheet may be accepted, if it lists any
+    bool keysConfirmed(Time now) const;
+    void reportApiKeysConfirmed(Context& context);
 
     KeyRegistry m_keys;
     Quarantine m_quarantine;
@@ -90,6 +93,9 @@
     bool m_serversPublishedSeparately;
     /// The latest order to the platform source.
     WatchPlatform m_watch {};
+    /// Whether requests are accepted since the start is complete.
+    bool m_started = false;
+    /// Whether the balancer is told to send requests.
     bool m_ready = false;
 };
 
--- a/src/decision/request_flow.cpp
+++ b/src/decision/request_flow.cpp
@@ -1,5 +1,7 @@
 #include "request_flow.h"
 
+#include "workspaces/api_key_check.h"
+
 #include <algorithm>
 #include <cmath>
 #include <utility>
@@ -110,6 +112,8 @@
         return refuse(request, { ErrorKind::NoRoute, outcomeBeforeSend, {} }, context);
     request.sheet = m_sheet;
     request.rule = &m_sheet->rules[*rule];
+    if (const auto refusal = checkWorkspace(request, event, context))
+        return refuse(request, *refusal, context);
     request.service = findOrCreateService(*m_sheet, chooseService(*request.rule, context));
     if (m_refusesNewWithoutKeys && !needsKey(request))
         return refuse(request, { ErrorKind::Draining, Outcome::NotRun, DRAINING_RETRY_AFTER }, context);
@@ -122,6 +126,35 @@
     context.emit(ReadBody { request.id, request.rule->maxBody });
 }
 
+std::optional<RequestFlow::Refusal> RequestFlow::checkWorkspace(Request& request, const HeadReceived& event, Context& context)
+{
+    if (event.forwarded) {
+        request.workspace = m_sheet->workspaces ? m_sheet->workspaces->findByName(WorkspaceName { std::string(event.workspace) }) : nullptr;
+        return std::nullopt;
+    }
+    const bool confirmed = m_dependencies.sheetConfirmation.holds(context.now());
+    const ApiKeyVerdict verdict = checkApiKey(*m_sheet, *request.rule, event.apiKey, confirmed);
+    request.workspace = verdict.workspace;
+    if (verdict.error == ErrorKind::None)
+        return std::nullopt;
+    const Outcome outcome = event.key ? Outcome::Unknown : Outcome::NotRun;
+    if (verdict.error == ErrorKind::ApiKeyRejected)
+        return Refusal { verdict.error, outcome, {} };
+    // Another entry instance is likely to know the latest sheet.
+    const Duration remaining = event.remaining.value_or(request.rule->timeLimit);
+    return Refusal { verdict.error, outcome, retryAfter({ RefusalCause::Unreachable, {}, {}, remaining }, context.random()) };
+}
+
+std::uint32_t RequestFlow::priorityOf(const Request& request)
+{
+    return request.workspace ? request.workspace->priority.value_or(request.rule->priority) : request.rule->priority;
+}
+
+WorkspaceLabel RequestFlow::labelOf(const Request& request)
+{
+    return { request.sheet->workspaces != nullptr, request.workspace ? request.workspace->name : WorkspaceName {} };
+}
+
 void RequestFlow::onBody(const BodyReceived& event, Context& context)
 {
     Request* request = find(event.request);
--- a/src/decision/request_flow.h
+++ b/src/decision/request_flow.h
@@ -13,6 +13,7 @@
 #include "loss_table.h"
 #include "peer_directory.h"
 #include "send_observer.h"
+#include "workspaces/configuration_confirmation.h"
 
 #include <array>
 #include <functional>
@@ -39,6 +40,7 @@
         Quarantine& quarantine;
         SendObserver& sendObserver;
         const PeerDirectory& peers;
+        const ConfigurationConfirmation& sheetConfirmation;
         /// Called with what the response of one incarnation of a backend server says of it.
         std::function<void(ServerId, std::uint64_t incarnation, const ServerNotice&, Context&)> onNotice;
         /// Called when a backend server closed the connection of a request without a response.
@@ -171,6 +173,8 @@
         /// The sheet that the request is routed by; keeps `rule` valid.
         SheetPtr sheet;
         const SheetRule* rule = nullptr;
+        /// Null if the request belongs to no workspace.
+        const Workspace* workspace = nullptr;
         ServicePtr service;
         Phase phase = Phase::Receiving;
         /// When the request was completely received.
@@ -229,6 +233,14 @@
     /// @return the handler for a result of a try
     static ResultHandler handlerFor(TryResult result);
 
+    /// Finds the workspace of a request, and checks its API key unless another entry instance has done so.
+    ///
+    /// @return a refusal if the key does not allow the request
+    std::optional<Refusal> checkWorkspace(Request& request, const HeadReceived& event, Context& context);
+    /// @return the priority of its workspace, or of its rule if that has none; 0 is the highest
+    static std::uint32_t priorityOf(const Request& request);
+    static WorkspaceLabel labelOf(const Request& request);
+
     // Idempotency keys.
     /// Parses and verifies the key where the rule requires one.
     ///
--- a/src/decision/request_flow_keys.cpp
+++ b/src/decision/request_flow_keys.cpp
@@ -69,7 +69,7 @@
         return refuse(request, { ErrorKind::OwnerUnreachable, Outcome::Unknown, RETRY_AFTER }, context);
     ++m_counters.forwarded;
     request.phase = Phase::Forwarded;
-    context.emit(ForwardToOwner { request.id, owner.instance, *address, std::chrono::duration_cast<Millis>(request.deadline - context.now()) });
+    context.emit(ForwardToOwner { request.id, owner.instance, *address, std::chrono::duration_cast<Millis>(request.deadline - context.now()), labelOf(request) });
 }
 
 void RequestFlow::onOwnerReplied(const OwnerReplied& event, Context& context)
--- a/src/decision/request_flow_placement.cpp
+++ b/src/decision/request_flow_placement.cpp
@@ -40,7 +40,7 @@
     if (placedByCost(request) && context.now() + expectedWait(service, context.now()) > queueDeadline(request, context.now()))
         return completeRequest(request, { Outcome::NotRun, ErrorKind::QueueFull, nullptr }, retryAfterOf(request, RefusalCause::Full, context), context);
     const Time expires = queueDeadline(request, context.now());
-    const auto admission = service.queue.enter({ request.id, expires }, request.rule->priority, service.config.queueLimit);
+    const auto admission = service.queue.enter({ request.id, expires }, priorityOf(request), service.config.queueLimit);
     if (admission.displaced) {
         if (Request* displaced = find(*admission.displaced))
             completeRequest(*displaced, { Outcome::NotRun, ErrorKind::QueueFull, nullptr }, retryAfterOf(*displaced, RefusalCause::Full, context), context);
--- a/src/decision/request_flow_sends.cpp
+++ b/src/decision/request_flow_sends.cpp
@@ -44,7 +44,7 @@
     const SheetService& config = request.service->config;
     context.emit(SendTry { request.id, id, server.id, server.config.name, server.config.address,
         deadline, request.rule->connection, request.rule->maxResponse,
-        config.shedStatus, config.shedHeader, config.drainHeader });
+        config.shedStatus, config.shedHeader, config.drainHeader, labelOf(request) });
     if (request.rule->hedgeAfter && request.tryCount == 1)
         m_timers.push({ context.now() + *request.rule->hedgeAfter, request.id, TimerKind::Hedge });
     const Duration bound = request.service->latency.upperBound();
--- a/src/shell/backend_client.cpp
+++ b/src/shell/backend_client.cpp
@@ -55,9 +55,12 @@
     call.method = request.head.method;
     call.target = request.head.target;
     for (const Header& header : request.head.headers) {
-        if (!isWithheldHeader(header.name) && !boost::algorithm::iequals(header.name, m_conventions.deadlineHeader))
+        const bool isWithheld = isWithheldHeader(header.name) || isWorkspaceHeader(header.name, effect.workspace, m_conventions);
+        if (!isWithheld && !boost::algorithm::iequals(header.name, m_conventions.deadlineHeader))
             call.headers.push_back(header);
     }
+    if (!effect.workspace.name.value().empty())
+        call.headers.push_back({ m_conventions.workspaceHeader, effect.workspace.name.value() });
     call.deadlineHeader = m_conventions.deadlineHeader;
     if (!m_conventions.expectedServerHeader.empty())
         call.headers.push_back({ m_conventions.expectedServerHeader, effect.name.value() });
--- a/src/shell/header_value.cpp
+++ b/src/shell/header_value.cpp
@@ -50,4 +50,17 @@
     return smallest;
 }
 
+std::optional<std::string_view> findOnly(const std::vector<Header>& headers, std::string_view name)
+{
+    std::optional<std::string_view> value;
+    for (const Header& header : headers) {
+        if (!boost::algorithm::iequals(header.name, name))
+            continue;
+        if (value)
+            return std::nullopt;
+        value = header.value;
+    }
+    return value;
+}
+
 } // namespace cornelwind
--- a/src/shell/header_value.h
+++ b/src/shell/header_value.h
@@ -20,4 +20,8 @@
 /// @return the smallest of the numbers stated; values that are not numbers are left out. Nothing if there is none
 std::optional<double> smallestNumber(const std::vector<Header>& headers, std::string_view name);
 
+/// @param name header name, in any case
+/// @return the value of the only header of that name; nothing if there is none, or more than one
+std::optional<std::string_view> findOnly(const std::vector<Header>& headers, std::string_view name);
+
 } // namespace cornelwind
--- a/src/shell/http_conventions.h
+++ b/src/shell/http_conventions.h
@@ -18,6 +18,10 @@
     /// Header with the caller's request id, which backend servers repeat in the response. Empty if there is none;
     /// then the fleet sends an id of its own with each try.
     std::string requestIdHeader;
+    /// Header with the API key of a caller, where the sheet lists workspaces.
+    std::string apiKeyHeader = "Cornelwind-Api-Key";
+    /// Header that tells a backend server the workspace of a request.
+    std::string workspaceHeader = "Cornelwind-Workspace";
     /// Header with the name of the backend server that a request is meant for; empty if servers do not check it.
     std::string expectedServerHeader;
     /// Status with which a server rejects a request meant for another server; 0 if there is none.
--- a/src/shell/http_server.cpp
+++ b/src/shell/http_server.cpp
@@ -99,9 +99,9 @@
     m_listener->setLimits(limits);
 }
 
-void HttpServer::drain()
+void HttpServer::setDraining(bool draining)
 {
-    m_listener->draining = true;
+    m_listener->draining = draining;
 }
 
 void HttpServer::closeIdle()
--- a/src/shell/http_server.h
+++ b/src/shell/http_server.h
@@ -100,8 +100,8 @@
     ///
     /// The idle time of open connections starts again, so that none closes before the new idle time has passed.
     void setLimits(const CallerLimits& limits);
-    /// From now on, closes each connection after its next response.
-    void drain();
+    /// Sets whether each connection is closed after its next response, so that clients connect to another entry instance.
+    void setDraining(bool draining);
     /// Closes the connections without a request in progress.
     void closeIdle();
     /// Stops accepting connections. Open ones continue.
--- a/src/shell/instance.cpp
+++ b/src/shell/instance.cpp
@@ -231,8 +231,7 @@
 {
     m_callerHandler.setReady(effect.ready);
     logMessage(LogLevel::Info, LogComponent::Main, effect.ready ? "Ready for callers." : "Not ready for callers.");
-    if (!effect.ready)
-        m_callerServer.drain();
+    m_callerServer.setDraining(!effect.ready);
 }
 
 // Connections with a request in progress stay open for up to CLOSE_TIMEOUT. Requests that arrive on them are still served.
--- a/src/shell/peer_messenger.cpp
+++ b/src/shell/peer_messenger.cpp
@@ -39,12 +39,14 @@
         field.set_value(value);
     };
     for (const Header& header : request.head.headers) {
-        if (!boost::algorithm::iequals(header.name, "traceparent") && !boost::algorithm::iequals(header.name, m_conventions.deadlineHeader))
+        const bool isOwn = boost::algorithm::iequals(header.name, "traceparent") || boost::algorithm::iequals(header.name, m_conventions.deadlineHeader);
+        if (!isOwn && !isWorkspaceHeader(header.name, effect.workspace, m_conventions))
             add(header.name, header.value);
     }
     add("traceparent", request.span.context.header());
     add(m_conventions.deadlineHeader, std::to_string(effect.remaining.count()));
     forward.set_body(request.body);
+    forward.set_workspace(effect.workspace.name.value());
     m_setSender(message);
     m_transport.send(effect.address, message);
 }
@@ -88,6 +90,7 @@
     for (const auto& header : forward.headers())
         request.head.headers.push_back({ header.name(), header.value() });
     request.body = forward.body();
+    request.workspace = forward.workspace();
     const std::string* parent = request.head.find("traceparent");
     request.span = m_tracer.start("owner", parent ? parseTraceparent(*parent) : std::nullopt);
     m_sink(makeHeadReceived(request, m_conventions));
--- a/src/shell/request_table.cpp
+++ b/src/shell/request_table.cpp
@@ -2,6 +2,7 @@
 
 #include "header_value.h"
 
+#include <boost/algorithm/string/predicate.hpp>
 #include <boost/json.hpp>
 #include <xxhash.h>
 
@@ -37,6 +38,11 @@
     return Fingerprint { XXH3_64bits_withSeed(body.data(), body.size(), target) };
 }
 
+bool isWorkspaceHeader(const std::string& name, const WorkspaceLabel& label, const HttpConventions& conventions)
+{
+    return label.isSet && (boost::algorithm::iequals(name, conventions.apiKeyHeader) || boost::algorithm::iequals(name, conventions.workspaceHeader));
+}
+
 HeadReceived makeHeadReceived(const ActiveRequest& request, const HttpConventions& conventions)
 {
     HeadReceived event { request.id, request.head.method, request.head.target, {}, {}, request.origin.has_value() };
@@ -48,6 +54,8 @@
         event.label = *label;
     if (const std::string* key = request.head.find(KEY_HEADER))
         event.key = *key;
+    event.apiKey = findOnly(request.head.headers, conventions.apiKeyHeader);
+    event.workspace = request.workspace;
     if (const auto millis = smallestNumber(request.head.headers, conventions.deadlineHeader))
         event.remaining = Millis { static_cast<std::int64_t>(std::clamp(*millis, 0.0, MAX_REMAINING_MS)) };
     return event;
--- a/src/shell/request_table.h
+++ b/src/shell/request_table.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "cornelwind/effect.h"
 #include "cornelwind/event.h"
 #include "cornelwind/types.h"
 #include "http_conventions.h"
@@ -32,6 +33,8 @@
     std::string body;
     HttpExchangePtr exchange;
     std::optional<PeerOrigin> origin;
+    /// Workspace that the peer found which forwarded the request; empty if there is none.
+    std::string workspace;
     Span span;
 };
 
@@ -62,6 +65,10 @@
 ///     shortest counts, and what is not a number is ignored
 HeadReceived makeHeadReceived(const ActiveRequest& request, const HttpConventions& conventions);
 
+/// @return whether the header is withheld from the receiver of a request, because the sheet lists workspaces: it holds the API key or
+///     states a workspace
+bool isWorkspaceHeader(const std::string& name, const WorkspaceLabel& label, const HttpConventions& conventions);
+
 /// Makes the response by which the fleet refuses a request. Its body holds problem details (RFC 9457).
 ///
 /// @param outcome whether the request may have run
