Count no refusal without a service

Cause: a request that is refused for its API key has a rule, but no service yet; counting it followed a null pointer. Change: only requests with a service are counted.

--- a/src/decision/request_flow.cpp
+++ b/src/decision/request_flow.cpp
@@ -240,7 +240,7 @@
 
 void RequestFlow::countResult(const Request& request, const KeyResult& result, Time now)
 {
-    if (!request.rule || request.usedAsTrial || !placedByCost(request))
+    if (!request.service || request.usedAsTrial || !placedByCost(request))
         return;
     const bool served = result.response && !isFailure(request, *result.response);
     m_dependencies.losses.recordOwn(request.service->id, served, now);
