Count suspensions toward calls under way, and test the revocation of API keys

A watch reply without changes that came before its wait was over counted as made when it arrived. An acknowledgement from another member than the target of the ping confirmed the sheet if its number matched. An instance that started without a confirmation refused public requests too.

Change: ConfigurationConfirmation remembers suspensions and takes them off what began before them. A reply counts as held back only if it took the whole wait. Only the target's acknowledgement confirms. The start does not wait for a confirmation; readiness does.

The simulated store fleet now freezes and suspends instances, delays messages and sends requests with API keys. Its timers no longer run after their watcher is destroyed.

--- a/include/cornelwind/event.h
+++ b/include/cornelwind/event.h
@@ -149,9 +149,13 @@
 struct PlatformReachable {
 };
 
-/// Every sheet that the platform acknowledged before a moment has been delivered, in events before this one.
+/// A call to the platform has ended. Every sheet that the platform acknowledged before it replied has been delivered, in events
+/// before this one.
 struct SheetConfirmed {
-    Time at;
+    /// When the call was made.
+    Time calledAt;
+    /// Time for which the platform held the reply back; zero if it may have replied at once.
+    Duration held {};
 };
 
 /// The machine was suspended. The clock of `Event::at` did not count that time.
--- a/src/decision/gossip.cpp
+++ b/src/decision/gossip.cpp
@@ -124,18 +124,11 @@
 
 // The member made the acknowledgement after the ping was sent, however late it arrives. It knows each sheet that was acknowledged
 // before the time that it states, and so does this instance if it has the same sheet or a later one.
-void Gossip::confirmBy(const peer::Ack& ack, Time sentAt)
+void Gossip::confirmBy(const peer::Ack& ack, Time pingSentAt, Time now)
 {
     const SheetVersion own = m_activeSheet.current() ? m_activeSheet.current()->version : SheetVersion {};
     if (ack.has_confirmation_age_ms() && SheetVersion { ack.sheet().version() } <= own)
-        m_confirmation.confirm(sentAt - Millis { ack.confirmation_age_ms() });
-}
-
-void Gossip::onSuspended(Duration time)
-{
-    m_confirmation.onSuspended(time);
-    for (Probe& probe : m_probes)
-        probe.sentAt -= time;
+        m_confirmation.confirm(pingSentAt, -Millis { ack.confirmation_age_ms() }, now);
 }
 
 void Gossip::probeIndirectly(Probe& probe, Context& context)
@@ -192,10 +185,11 @@
     std::erase_if(m_probes, [&](const Probe& probe) {
         if (probe.sequence != ack.sequence())
             return false;
-        confirmBy(ack, probe.sentAt);
-        MemberRecord* target = m_members.find(probe.target);
-        if (target && target == &sender)
-            target->answersDirectly = !probe.indirect;
+        // Another member may use the same number for a ping of its own.
+        if (sender.name == probe.target) {
+            confirmBy(ack, probe.sentAt, context.now());
+            sender.answersDirectly = !probe.indirect;
+        }
         return true;
     });
 }
--- a/src/decision/gossip.h
+++ b/src/decision/gossip.h
@@ -89,12 +89,12 @@
     void platformUnreachable(Context& context);
     /// @return which entry instances of the availability zone are in contact with the platform
     const PlatformContact& contact() const { return m_contact; }
-    /// Records that every sheet that the platform acknowledged before `at` is known here.
-    void confirmSheet(Time at) { m_confirmation.confirm(at); }
+    /// Records that every sheet that the platform acknowledged before `held` after `calledAt` is known here.
+    void confirmSheet(Time calledAt, Duration held, Time now) { m_confirmation.confirm(calledAt, held, now); }
     /// @return up to when the sheet here is known to be the latest
     const ConfigurationConfirmation& confirmation() const { return m_confirmation; }
-    /// Counts a time in which the machine was suspended toward the age of the confirmation and of pings under way.
-    void onSuspended(Duration time);
+    /// Counts a time in which the machine was suspended toward the age of the confirmation, and of calls and pings under way.
+    void onSuspended(Duration time, Time now) { m_confirmation.onSuspended(time, now); }
     /// @return whether the start is complete: each entry instance that the platform lists has been heard of, or
     ///     the platform is always current, or the time to wait for them is over
     bool joined(Time now) const;
@@ -122,8 +122,8 @@
     void probe(MemberRecord& member, Context& context);
     /// Pings the member that has heard from the platform last, if the confirmation of the sheet grows old.
     void refreshConfirmation(Context& context);
-    /// Confirms the sheet by what a member states in reply to a ping that was sent at `sentAt`.
-    void confirmBy(const peer::Ack& ack, Time sentAt);
+    /// Confirms the sheet by what the target of a ping states in reply.
+    void confirmBy(const peer::Ack& ack, Time pingSentAt, Time now);
     void probeIndirectly(Probe& probe, Context& context);
     void pingSeeds(Context& context);
     void onPing(const peer::Ping& ping, MemberRecord& sender, Context& context);
--- a/src/decision/reducer_state.cpp
+++ b/src/decision/reducer_state.cpp
@@ -316,14 +316,16 @@
         return;
     if (m_started)
         return reportApiKeysConfirmed(context);
-    if (!m_gossip.joined(context.now()) || !keysConfirmed(context.now()))
+    if (!m_gossip.joined(context.now()))
         return;
     if (m_serversPublishedSeparately && !m_serverRegistry.hasServerList())
         return;
     m_started = true;
-    m_ready = true;
     m_flow.startAccepting();
-    context.emit(SetReady { true });
+    // Public rules are served without a confirmation too.
+    m_ready = keysConfirmed(context.now());
+    if (m_ready)
+        context.emit(SetReady { true });
 }
 
 bool Reducer::State::keysConfirmed(Time now) const
--- a/src/shell/metadata_store_watcher.cpp
+++ b/src/shell/metadata_store_watcher.cpp
@@ -182,11 +182,12 @@
     call();
 }
 
-// A reply without changes was held back for the whole wait. Any other reply may have been made right after the call.
-Time MetadataStoreWatcher::replyMadeAfter(const StoreReply& reply) const
+// A reply without changes was held back for the whole wait, unless it came sooner. Any other reply may have been made right after
+// the call and delayed on its way.
+Duration MetadataStoreWatcher::heldTime(const StoreReply& reply) const
 {
-    const bool waited = reply.changes.empty() && reply.unreadable.empty() && reply.revision <= m_revision;
-    return waited ? std::min<Time>(m_calledAt + m_callWait, m_timer->now()) : m_calledAt;
+    const bool isUnchanged = reply.changes.empty() && reply.unreadable.empty() && reply.revision <= m_revision;
+    return isUnchanged && m_timer->now() - m_calledAt >= m_callWait ? m_callWait : Duration {};
 }
 
 void MetadataStoreWatcher::onChanges(const StoreReply& reply)
@@ -205,7 +206,7 @@
         servers.revision = reply.revision;
         m_handler(std::move(servers));
     }
-    m_handler(SheetConfirmed { replyMadeAfter(reply) });
+    m_handler(SheetConfirmed { m_calledAt, heldTime(reply) });
     m_revision = std::max(m_revision, reply.revision);
     // Changes often come in bursts. Waiting before the next call lets one call receive a whole burst.
     scheduleCall(reply.changes.empty() ? Duration {} : Duration { BATCH_DELAY });
--- a/src/shell/metadata_store_watcher.h
+++ b/src/shell/metadata_store_watcher.h
@@ -54,8 +54,8 @@
     void onSheetRead(const StoreReply& reply);
     void onServersRead(const StoreReply& reply);
     void onChanges(const StoreReply& reply);
-    /// @return the latest moment of which the reply to the call in progress proves that the store made it later
-    Time replyMadeAfter(const StoreReply& reply) const;
+    /// @return time for which the store certainly held the reply to the call in progress back
+    Duration heldTime(const StoreReply& reply) const;
     /// Resets the state so that the next call starts to read all values again.
     void restartFromFullRead();
     void scheduleCall(Duration delay);
--- a/tests/support/simulated_store_fleet.cpp
+++ b/tests/support/simulated_store_fleet.cpp
@@ -12,6 +12,7 @@
 #include <optional>
 #include <random>
 #include <set>
+#include <sstream>
 #include <utility>
 #include <vector>
 
@@ -28,28 +29,39 @@
     constexpr Duration CALL_TIMEOUT = std::chrono::milliseconds(1500);
     constexpr std::size_t SEEDS = 3;
 
-    /// A timer in simulated time.
+    /// Runs an action of an instance, as soon as the instance runs.
+    using Runner = std::function<void(std::function<void()>)>;
+
+    /// A timer in the simulated time of one instance.
     class SimulatedTimer final : public OneShotTimer {
     public:
-        explicit SimulatedTimer(Schedule& schedule)
+        SimulatedTimer(Schedule& schedule, Runner runner, std::function<Time()> clock)
             : m_schedule(schedule)
+            , m_runner(std::move(runner))
+            , m_clock(std::move(clock))
         {
         }
 
+        ~SimulatedTimer() override { ++*m_started; }
+
         void start(Duration delay, std::function<void()> action) override
         {
-            m_schedule.add(delay, [started = *m_started + 1, current = m_started, action = std::move(action)] {
-                if (*current == started)
-                    action();
+            m_schedule.add(delay, [started = *m_started + 1, current = m_started, action = std::move(action), runner = m_runner] {
+                runner([=] {
+                    if (*current == started)
+                        action();
+                });
             });
             ++*m_started;
         }
 
         void cancel() override { ++*m_started; }
-        Time now() const override { return m_schedule.now(); }
+        Time now() const override { return m_clock(); }
 
     private:
         Schedule& m_schedule;
+        Runner m_runner;
+        std::function<Time()> m_clock;
         /// Number of starts and cancellations; actions of earlier ones are dropped.
         std::shared_ptr<std::uint64_t> m_started = std::make_shared<std::uint64_t>(0);
     };
@@ -163,10 +175,36 @@
         std::uint64_t m_lastWaiting = 0;
     };
 
-    Sheet makeSheet(std::uint64_t version)
+    /// @return the text of a sheet: its version, then for each workspace a line with its name and keys
+    std::string makeText(std::uint64_t version, const Workspaces& workspaces)
+    {
+        std::string text = std::to_string(version);
+        for (const auto& [name, keys] : workspaces) {
+            text += "\n" + name;
+            for (const std::string& key : keys)
+                text += " " + key;
+        }
+        return text;
+    }
+
+    Sheet makeSheet(const std::string& text)
     {
+        std::istringstream lines(text);
+        std::string line;
+        std::getline(lines, line);
         Sheet sheet;
-        sheet.version = SheetVersion { version };
+        sheet.version = SheetVersion { std::stoull(line) };
+        WorkspaceDirectory::Builder workspaces;
+        while (std::getline(lines, line)) {
+            std::istringstream words(line);
+            std::string word;
+            words >> word;
+            workspaces.addWorkspace({ WorkspaceName { word }, {}, {} });
+            while (words >> word)
+                workspaces.addKey(word);
+        }
+        if (auto directory = workspaces.build(); !directory.all().empty())
+            sheet.workspaces = std::make_shared<const WorkspaceDirectory>(std::move(directory));
         SheetService service;
         service.name = ServiceName { "orders" };
         service.placement = Placement::ExpectedCost;
@@ -176,6 +214,10 @@
         rule.path = "/";
         rule.key = KeyMode::None;
         sheet.rules.push_back(rule);
+        rule.name = "public";
+        rule.path = "/public";
+        rule.isPublic = true;
+        sheet.rules.push_back(rule);
         return sheet;
     }
 
@@ -183,14 +225,15 @@
 
 class SimulatedStoreFleet::Play {
 public:
-    Play(std::size_t instances, std::size_t zones, Millis changeDeadline, std::uint64_t seed)
+    Play(std::size_t instances, std::size_t zones, Millis changeDeadline, std::uint64_t seed, std::optional<Millis> keyRevocationDeadline)
         : m_random(seed)
         , m_store(m_schedule)
         , m_instances(instances)
         , m_zones(zones)
         , m_changeDeadline(changeDeadline)
+        , m_keyRevocationDeadline(keyRevocationDeadline)
     {
-        publishSheet();
+        publishSheet({});
         for (int i = 0; i < 4; ++i)
             publishServer("s" + std::to_string(i), false);
         for (std::size_t i = 0; i < instances; ++i) {
@@ -215,24 +258,30 @@
     {
         Instance& instance = m_instances[index];
         m_store.drop(index, false);
-        const std::uint64_t incarnation = ++m_lastIncarnation;
+        // Ping numbers start at the upper half.
+        const std::uint64_t incarnation = ++m_lastIncarnation << 32;
+        instance.pending.clear();
+        instance.isPaused = false;
         Settings settings;
         settings.name = InstanceName { nameOf(index) };
         settings.zone = ZoneName { "z" + std::to_string(index % m_zones) };
         settings.peers = addressOf(index);
         settings.platformForm = PlatformForm::Store;
         settings.changeDeadline = m_changeDeadline;
+        settings.keyRevocationDeadline = m_keyRevocationDeadline;
         for (std::size_t i = 0; i < std::min(SEEDS, m_instances.size()); ++i)
             settings.seeds.push_back(addressOf(i));
         instance.incarnation = incarnation;
         instance.reducer.emplace(Reducer::Builder()
                                      .settings(settings)
                                      .incarnation(Incarnation { incarnation })
-                                     .start(m_schedule.now())
-                                     .sheetReader([](std::string_view text, Reasons&) { return makeSheet(std::stoull(std::string(text))); })
+                                     .start(clockOf(index))
+                                     .sheetReader([](std::string_view text, Reasons&) { return makeSheet(std::string(text)); })
                                      .build());
         instance.watcher = std::make_unique<MetadataStoreWatcher>(
-            std::make_unique<SimulatedTimer>(m_schedule), std::make_unique<StoreOf>(*this, index),
+            std::make_unique<SimulatedTimer>(
+                m_schedule, [this, index](std::function<void()> action) { runOrKeep(index, std::move(action)); }, [this, index] { return clockOf(index); }),
+            std::make_unique<StoreOf>(*this, index),
             [this, index, incarnation](EventBody body) {
                 if (m_instances[index].incarnation == incarnation)
                     apply(index, std::move(body));
@@ -241,7 +290,40 @@
         instance.watcher->start();
     }
 
-    void publishSheet() { m_store.write({ {}, std::to_string(++m_version), {} }); }
+    void pause(std::size_t index, Pause how)
+    {
+        m_instances[index].isPaused = true;
+        m_instances[index].suspendedAt = how == Pause::Suspended ? std::optional(m_schedule.now()) : std::nullopt;
+    }
+
+    void resume(std::size_t index)
+    {
+        Instance& instance = m_instances[index];
+        instance.isPaused = false;
+        if (instance.suspendedAt) {
+            const Duration time = m_schedule.now() - *instance.suspendedAt;
+            instance.suspended += time;
+            apply(index, MachineSuspended { time });
+        }
+        for (auto& action : std::exchange(instance.pending, {}))
+            m_schedule.add({}, std::move(action));
+    }
+
+    void setMessageDelay(std::size_t instance, Duration delay) { m_instances[instance].messageDelay = delay; }
+
+    Verdict send(std::size_t index, const std::string& apiKey, const std::string& path)
+    {
+        m_verdict = {};
+        HeadReceived head { RequestId { ++m_lastRequest }, "POST", path, {}, {}, false };
+        if (!apiKey.empty())
+            head.apiKey = apiKey;
+        apply(index, head);
+        return m_verdict;
+    }
+
+    bool isReady(std::size_t index) const { return m_instances[index].reducer->status(clockOf(index)).ready; }
+
+    void publishSheet(const Workspaces& workspaces) { m_store.write({ {}, makeText(++m_version, workspaces), {} }); }
 
     void publishServer(const std::string& name, bool leaving)
     {
@@ -258,7 +340,7 @@
 
     bool isUpToDate(std::size_t index) const
     {
-        const Status status = m_instances[index].reducer->status(m_schedule.now());
+        const Status status = m_instances[index].reducer->status(clockOf(index));
         std::set<std::string> used;
         for (const ServerStatus& server : status.servers) {
             if (server.state == "serving")
@@ -269,12 +351,12 @@
             if (!change.server->leaving)
                 published.insert(name.value());
         }
-        return std::to_string(status.sheet.value()) == m_store.sheet() && used == published;
+        return status.sheet == makeSheet(m_store.sheet()).version && used == published;
     }
 
     std::size_t aliveMembers(std::size_t index) const
     {
-        const Status status = m_instances[index].reducer->status(m_schedule.now());
+        const Status status = m_instances[index].reducer->status(clockOf(index));
         return static_cast<std::size_t>(std::count_if(status.members.begin(), status.members.end(), [](const MemberStatus& member) { return member.state == "alive"; }));
     }
 
@@ -285,6 +367,14 @@
     struct Instance {
         StoreAccess access = StoreAccess::Served;
         bool isolated = false;
+        bool isPaused = false;
+        /// When the machine was suspended; empty if the process is frozen.
+        std::optional<Time> suspendedAt;
+        /// Time that its clock has not counted.
+        Duration suspended {};
+        Duration messageDelay {};
+        /// What happens once it runs again.
+        std::vector<std::function<void()>> pending;
         std::uint64_t incarnation = 0;
         std::optional<Reducer> reducer;
         std::unique_ptr<MetadataStoreWatcher> watcher;
@@ -327,8 +417,12 @@
         ++m_calls;
         const auto done = std::make_shared<bool>(false);
         const MetadataStore::Handler once = [done, handler = std::move(handler), this, instance, incarnation = m_instances[instance].incarnation](StoreReply reply) {
-            if (!std::exchange(*done, true) && m_instances[instance].incarnation == incarnation)
-                handler(std::move(reply));
+            if (std::exchange(*done, true))
+                return;
+            runOrKeep(instance, [=, this, reply = std::move(reply)] {
+                if (m_instances[instance].incarnation == incarnation)
+                    handler(reply);
+            });
         };
         m_schedule.add(wait + CALL_TIMEOUT, [once] { once({}); });
         m_schedule.add(CALL_DELAY, [this, instance, once, serve = std::move(serve)] {
@@ -352,16 +446,27 @@
 
     static Endpoint addressOf(std::size_t index) { return { "10.1.0." + std::to_string(index + 1), 9000 }; }
 
+    Time clockOf(std::size_t index) const { return m_schedule.now() - m_instances[index].suspended; }
+
+    void runOrKeep(std::size_t index, std::function<void()> action)
+    {
+        if (m_instances[index].isPaused)
+            m_instances[index].pending.push_back(std::move(action));
+        else
+            action();
+    }
+
     void tick(std::size_t index)
     {
-        apply(index, Tick {});
+        if (!m_instances[index].isPaused)
+            apply(index, Tick {});
         m_schedule.add(TICK, [this, index] { tick(index); });
     }
 
     void apply(std::size_t index, EventBody body)
     {
         EffectList effects;
-        m_instances[index].reducer->apply({ m_schedule.now(), m_random(), std::move(body) }, effects);
+        m_instances[index].reducer->apply({ clockOf(index), m_random(), std::move(body) }, effects);
         for (const Effect& effect : effects)
             std::visit([&](const auto& what) { handle(index, what); }, effect);
     }
@@ -372,6 +477,15 @@
     }
 
     void handle(std::size_t index, const WatchPlatform& effect) { m_instances[index].watcher->watch(effect); }
+    void handle(std::size_t, const Refuse& effect) { m_verdict.error = effect.error; }
+    void handle(std::size_t index, const ReadBody& effect) { apply(index, BodyReceived { effect.request, {} }); }
+
+    void handle(std::size_t index, const SendTry& effect)
+    {
+        m_verdict.workspace = effect.workspace.name.value();
+        apply(index, TryFinished { effect.id, TryResult::Answered, std::make_shared<const Response>(Response { 200, {}, {} }) });
+    }
+
     void handle(std::size_t index, const RefreshPublished&) { m_instances[index].watcher->refresh(); }
 
     void handle(std::size_t from, const SendPeerMessage& effect)
@@ -382,8 +496,8 @@
         const bool sameZone = from % m_zones == to % m_zones;
         if (!sameZone)
             m_bytesBetweenZones += effect.message->ByteSizeLong();
-        m_schedule.add(sameZone ? ZONE_DELAY : REMOTE_DELAY,
-            [this, to, message = std::shared_ptr<const peer::Envelope>(effect.message)] { apply(to, PeerMessageReceived { message }); });
+        m_schedule.add(m_instances[from].messageDelay + (sameZone ? ZONE_DELAY : REMOTE_DELAY),
+            [this, to, message = std::shared_ptr<const peer::Envelope>(effect.message)] { runOrKeep(to, [=, this] { apply(to, PeerMessageReceived { message }); }); });
     }
 
     std::mt19937_64 m_random;
@@ -392,6 +506,9 @@
     std::vector<Instance> m_instances;
     std::size_t m_zones;
     Millis m_changeDeadline;
+    std::optional<Millis> m_keyRevocationDeadline;
+    Verdict m_verdict;
+    std::uint64_t m_lastRequest = 0;
     std::uint64_t m_version = 0;
     std::uint64_t m_lastIncarnation = 0;
     CallId m_lastCall = 0;
@@ -399,11 +516,12 @@
     std::size_t m_bytesBetweenZones = 0;
 };
 
-SimulatedStoreFleet::SimulatedStoreFleet(std::size_t instances, std::size_t zones, Millis changeDeadline, std::uint64_t seed)
-    : m_play(std::make_unique<Play>(instances, zones, changeDeadline, seed))
+SimulatedStoreFleet::SimulatedStoreFleet(std::size_t instances, std::size_t zones, Millis changeDeadline, std::uint64_t seed, std::optional<Millis> keyRevocationDeadline)
+    : m_play(std::make_unique<Play>(instances, zones, changeDeadline, seed, keyRevocationDeadline))
 {
 }
 
+SimulatedStoreFleet::SimulatedStoreFleet(SimulatedStoreFleet&&) noexcept = default;
 SimulatedStoreFleet::~SimulatedStoreFleet() = default;
 
 void SimulatedStoreFleet::run(Duration time)
@@ -437,9 +555,39 @@
     m_play->start(instance);
 }
 
+void SimulatedStoreFleet::pause(std::size_t instance, Pause how)
+{
+    m_play->pause(instance, how);
+}
+
+void SimulatedStoreFleet::resume(std::size_t instance)
+{
+    m_play->resume(instance);
+}
+
+void SimulatedStoreFleet::setMessageDelay(std::size_t instance, Duration delay)
+{
+    m_play->setMessageDelay(instance, delay);
+}
+
 void SimulatedStoreFleet::publishSheet()
 {
-    m_play->publishSheet();
+    m_play->publishSheet({});
+}
+
+void SimulatedStoreFleet::publishSheet(const Workspaces& workspaces)
+{
+    m_play->publishSheet(workspaces);
+}
+
+Verdict SimulatedStoreFleet::send(std::size_t instance, const std::string& apiKey, const std::string& path)
+{
+    return m_play->send(instance, apiKey, path);
+}
+
+bool SimulatedStoreFleet::isReady(std::size_t instance) const
+{
+    return m_play->isReady(instance);
 }
 
 void SimulatedStoreFleet::publishServer(const std::string& name, bool leaving)
--- a/tests/support/simulated_store_fleet.h
+++ b/tests/support/simulated_store_fleet.h
@@ -1,11 +1,15 @@
 #pragma once
 
+#include "cornelwind/error.h"
 #include "cornelwind/types.h"
 
 #include <cstddef>
 #include <cstdint>
+#include <map>
 #include <memory>
+#include <optional>
 #include <string>
+#include <vector>
 
 namespace cornelwind::test {
 
@@ -18,6 +22,25 @@
     Silent,
 };
 
+/// How an entry instance does not run.
+enum class Pause : std::uint8_t {
+    /// The process is frozen; its clock goes on.
+    Frozen,
+    /// The machine is suspended; its clock stops.
+    Suspended,
+};
+
+/// What an entry instance does with a request.
+struct Verdict {
+    /// `ErrorKind::None` if it sends the request to a backend server.
+    ErrorKind error = ErrorKind::None;
+    /// Workspace that it tells the backend server.
+    std::string workspace;
+};
+
+/// API keys by the name of their workspace.
+using Workspaces = std::map<std::string, std::vector<std::string>>;
+
 /// Entry instances (reducers, each with a `MetadataStoreWatcher`) that follow a simulated metadata store, in simulated time.
 ///
 /// Instance `i` is in availability zone `i % zones`. The names of a zone's instances sort in the order of their numbers. The same seed
@@ -27,7 +50,9 @@
     /// Starts all instances. The store holds a sheet and four servers, named "s0" to "s3".
     ///
     /// @param changeDeadline see `Settings`
-    SimulatedStoreFleet(std::size_t instances, std::size_t zones, Millis changeDeadline, std::uint64_t seed);
+    /// @param keyRevocationDeadline see `Settings`
+    SimulatedStoreFleet(std::size_t instances, std::size_t zones, Millis changeDeadline, std::uint64_t seed, std::optional<Millis> keyRevocationDeadline = {});
+    SimulatedStoreFleet(SimulatedStoreFleet&&) noexcept;
     ~SimulatedStoreFleet();
 
     /// Lets time pass.
@@ -40,9 +65,21 @@
     void setIsolated(std::size_t instance, bool isolated);
     /// Stops an instance and starts it again without state.
     void restart(std::size_t instance);
+    /// Stops an instance from running until `resume`. What reaches it meanwhile, and its timers, wait.
+    void pause(std::size_t instance, Pause how);
+    /// Lets an instance run again. What has waited follows with the next `run`, in its order.
+    void resume(std::size_t instance);
+    /// Delays each message that an instance sends.
+    void setMessageDelay(std::size_t instance, Duration delay);
 
     /// Publishes the next version of the sheet.
     void publishSheet();
+    /// Publishes the next version of the sheet, which lists these workspaces.
+    void publishSheet(const Workspaces& workspaces);
+    /// Sends a request, with an API key unless that is empty, to the path "/" or to the public path "/public".
+    Verdict send(std::size_t instance, const std::string& apiKey, const std::string& path = "/");
+    /// @return whether the instance tells the balancer to send requests
+    bool isReady(std::size_t instance) const;
     void publishServer(const std::string& name, bool leaving);
     void removeServer(const std::string& name);
 
