Keep API keys out of messages between instances and out of logs; list workspaces in the TOML sheet

Cause: an instance sent its sheet to members with the text of all API keys, and kept that text in memory. A request that was not sent for an invalid header was logged with the value of the header. A key with white space, which no header can carry, was accepted.

Only the name of an invalid header is logged. The TOML sheet has [[workspace]] with name, keys, priority, rate and burst, and `public` in a rule. An owner of an idempotency key states the workspace that the forwarding instance found, also if its own sheet does not list it.

--- a/include/cornelwind/sheet.h
+++ b/include/cornelwind/sheet.h
@@ -167,7 +167,8 @@
     WorkspaceDirectoryPtr workspaces;
     /// Empty if the settings of the entry instance apply.
     std::optional<CallerLimits> callers;
-    /// The text from which it was parsed. Entry instances send it to each other unchanged.
+    /// The text that entry instances send to each other: the text from which the sheet was parsed, with a digest in place of each API
+    /// key. A reader may leave it empty if that text holds no API key.
     std::string text;
 };
 
--- a/include/cornelwind/workspace.h
+++ b/include/cornelwind/workspace.h
@@ -38,8 +38,9 @@
 
 /// The workspaces of one sheet, found by API key or by name. Immutable.
 ///
-/// Holds a SHA-256 digest of each key instead of the key, so that no key can reach a log, a trace or a message from here. The
-/// time of a look-up depends on the digest of the key that a caller sent, which tells nothing about the keys that are valid.
+/// Holds a digest of each key instead of the key, the first half of its SHA-256, so that no key can reach a log, a trace or a
+/// message from here. The time of a look-up depends on the digest of the key that a caller sent, which tells nothing about the keys
+/// that are valid.
 ///
 /// Memory: one row for each workspace and one for each key.
 class WorkspaceDirectory {
@@ -49,6 +50,12 @@
 
     class Builder;
 
+    /// @return whether the key has an accepted length and only bytes that an API key header may have: no control bytes or white space
+    static bool isValidKey(std::string_view key);
+    /// @return text that `Builder::addKey` accepts in place of the key, and that lets nobody send requests; the same text if `key` is
+    ///     such a text already
+    static std::string digestText(std::string_view key);
+
     /// @param key API key as a caller sent it, of any length and content
     /// @return the workspace that holds the key, or null if none does
     const Workspace* findByKey(std::string_view key) const;
@@ -59,7 +66,7 @@
     std::size_t keyCount() const { return m_keys.size(); }
 
 private:
-    using Digest = std::array<unsigned char, 32>;
+    using Digest = std::array<unsigned char, 16>;
 
     /// Uses the first bytes of a digest, which are evenly distributed.
     struct DigestHash {
@@ -71,6 +78,8 @@
     };
 
     static Digest digestOf(std::string_view key);
+    /// @return the digest that a result of `digestText` states, or nothing if the text is none
+    static std::optional<Digest> readDigest(std::string_view text);
 
     std::vector<Workspace> m_workspaces;
     std::unordered_map<WorkspaceName, std::uint32_t> m_names;
@@ -87,8 +96,8 @@
     bool addWorkspace(Workspace workspace);
     /// Adds a key of the workspace that was added last.
     ///
-    /// @param key from 1 to `MAX_KEY_BYTES` bytes
-    /// @return false if its length is out of bounds, or if another workspace holds the key
+    /// @param key a valid key, or the result of `digestText` for one
+    /// @return false if it is not valid, or if another workspace holds the key
     bool addKey(std::string_view key);
     WorkspaceDirectory build() { return std::move(m_directory); }
 
--- a/src/config/sheet.cpp
+++ b/src/config/sheet.cpp
@@ -7,6 +7,7 @@
 #include <algorithm>
 #include <numeric>
 #include <set>
+#include <sstream>
 #include <unordered_map>
 #include <unordered_set>
 
@@ -18,6 +19,11 @@
     constexpr std::uint64_t MAX_CONNECTIONS = 100000;
     constexpr std::uint64_t MAX_MILLIS = 3600 * 1000;
     constexpr std::uint64_t MAX_TRIES = 5;
+    constexpr std::uint64_t LOWEST_PRIORITY = 9;
+    // Highest rate and burst of a workspace that is accepted, in requests a second and requests.
+    constexpr double MAX_RATE = 1e9;
+    // A smaller burst would never let a request pass.
+    constexpr double MIN_BURST = 1;
     constexpr std::uint64_t MIN_HEAD_BYTES = 1024;
     constexpr std::uint64_t MAX_HEAD_BYTES = 1024 * 1024;
     constexpr std::uint64_t MAX_MESSAGE_BYTES = 16ULL * 1024 * 1024;
@@ -55,6 +61,7 @@
             readCallerLimits(reader);
             reader.tables("service", [this](const toml::table& row) { readService(row); });
             reader.tables("rule", [this](const toml::table& row) { readRule(row); });
+            readWorkspaces(reader, root);
             reader.rejectUnknownKeys();
         }
 
@@ -134,7 +141,8 @@
             }
             reader.choice("key", keyModes, rule.key);
             reader.choice("connection", connectionUses, rule.connection);
-            reader.number("priority", rule.priority, 0, 9);
+            reader.number("priority", rule.priority, 0, LOWEST_PRIORITY);
+            reader.flag("public", rule.isPublic);
             reader.millis("time_limit_ms", rule.timeLimit, 1, MAX_MILLIS);
             reader.choice("run_limit", runLimits, rule.runLimit);
             reader.number("tries", rule.tries, 1, MAX_TRIES);
@@ -149,6 +157,41 @@
             m_sheet.rules.push_back(std::move(rule));
         }
 
+        void readWorkspaces(TableReader& reader, const toml::table& root)
+        {
+            if (!root.contains("workspace"))
+                return;
+            WorkspaceDirectory::Builder builder;
+            reader.tables("workspace", [&](const toml::table& row) { readWorkspace(row, builder); });
+            m_sheet.workspaces = std::make_shared<const WorkspaceDirectory>(builder.build());
+        }
+
+        void readWorkspace(const toml::table& row, WorkspaceDirectory::Builder& builder)
+        {
+            TableReader reader(row, m_reasons);
+            Workspace workspace;
+            std::vector<std::string> keys;
+            double rate = 0;
+            double burst = 0;
+            std::uint32_t priority = 0;
+            reader.name("name", workspace.name);
+            reader.texts("keys", keys);
+            reader.number("priority", priority, 0, LOWEST_PRIORITY);
+            reader.decimal("rate", rate, MAX_RATE);
+            reader.decimal("burst", burst, MAX_RATE);
+            reader.rejectUnknownKeys();
+            if (row.contains("priority"))
+                workspace.priority = priority;
+            if (rate > 0)
+                workspace.quota = WorkspaceQuota { rate, std::max(burst, MIN_BURST) };
+            const std::string name = workspace.name.value();
+            if (!builder.addWorkspace(std::move(workspace)))
+                return reader.reportError(ErrorKind::DuplicateName, "name", name);
+            // What is reported gets into logs, so it names no key.
+            if (!std::all_of(keys.begin(), keys.end(), [&](const std::string& key) { return builder.addKey(key); }))
+                reader.reportError(ErrorKind::OutOfRange, "keys", "a key of workspace " + name + " is empty, too long, has white space or control bytes, or is also a key of another workspace");
+        }
+
         void readServiceOfRule(TableReader& reader, SheetRule& rule)
         {
             ServiceName service;
@@ -184,6 +227,27 @@
         std::set<std::string> m_rulePaths;
     };
 
+    /// @return the text of the sheet with a digest in place of each API key; the same text if it holds no key
+    std::string withoutApiKeys(std::string_view text, toml::table root)
+    {
+        bool isChanged = false;
+        toml::array* workspaces = root["workspace"].as_array();
+        for (std::size_t i = 0; workspaces && i < workspaces->size(); ++i) {
+            toml::array* keys = workspaces->get(i)->as_table()->get_as<toml::array>("keys");
+            for (std::size_t j = 0; keys && j < keys->size(); ++j) {
+                std::string& key = keys->get(j)->as_string()->get();
+                std::string digest = WorkspaceDirectory::digestText(key);
+                isChanged = isChanged || digest != key;
+                key = std::move(digest);
+            }
+        }
+        if (!isChanged)
+            return std::string(text);
+        std::ostringstream out;
+        out << root;
+        return out.str();
+    }
+
 } // namespace
 
 std::optional<Sheet> readSheet(std::string_view text, Reasons& reasons)
@@ -201,8 +265,12 @@
     if (reasons.size() != errorsBefore)
         return std::nullopt;
     Sheet sheet = reader.take();
-    sheet.hash = SheetHash { XXH3_64bits(text.data(), text.size()) };
-    sheet.text = std::string(text);
+    sheet.text = withoutApiKeys(text, *root);
+    sheet.hash = SheetHash { XXH3_64bits(sheet.text.data(), sheet.text.size()) };
+    if (sheet.text.size() > MAX_SHEET_BYTES) {
+        reasons.push_back(Reason { ErrorKind::SheetTooLarge, 0, std::to_string(sheet.text.size()) + " bytes with digests of the API keys" });
+        return std::nullopt;
+    }
     return sheet;
 }
 
--- a/src/config/table_reader.cpp
+++ b/src/config/table_reader.cpp
@@ -66,6 +66,32 @@
     }
 }
 
+void TableReader::flag(const char* key, bool& out)
+{
+    const toml::node* node = find(key, false);
+    if (!node)
+        return;
+    if (const auto* value = node->as_boolean())
+        out = value->get();
+    else
+        reportErrorAt(ErrorKind::WrongType, *node, key);
+}
+
+void TableReader::decimal(const char* key, double& out, double high)
+{
+    const toml::node* node = find(key, false);
+    if (!node)
+        return;
+    const auto value = node->value<double>();
+    if (!node->is_number() || !value)
+        return reportErrorAt(ErrorKind::WrongType, *node, key);
+    // Not a number fails both comparisons.
+    if (*value >= 0 && *value <= high)
+        out = *value;
+    else
+        reportError(ErrorKind::OutOfRange, key, std::to_string(*value));
+}
+
 void TableReader::texts(const char* key, std::vector<std::string>& out)
 {
     const toml::array* entries = array(key);
--- a/src/config/table_reader.h
+++ b/src/config/table_reader.h
@@ -46,6 +46,10 @@
     void endpoint(const char* key, std::optional<Endpoint>& out);
     /// Appends the valid endpoints of an array to `out`; reports the others.
     void endpoints(const char* key, std::vector<Endpoint>& out);
+    /// Reads a boolean.
+    void flag(const char* key, bool& out);
+    /// Reads a number from 0 to `high`, both included, which may have a fraction.
+    void decimal(const char* key, double& out, double high);
     /// Appends the strings of an array to `out`; reports elements of other types.
     void texts(const char* key, std::vector<std::string>& out);
 
--- a/src/decision/active_sheet.cpp
+++ b/src/decision/active_sheet.cpp
@@ -10,7 +10,7 @@
 bool ActiveSheet::adoptIfNewer(std::string_view text, const std::string& source, Context& context)
 {
     const SheetHash hash { XXH3_64bits(text.data(), text.size()) };
-    if ((m_current && m_current->hash == hash) || m_lastRejected == hash)
+    if (isKnown(hash))
         return false;
     Reasons reasons;
     auto sheet = m_reader(text, reasons);
@@ -19,20 +19,31 @@
         context.report(DecisionKind::SheetRefused, "sheet", "from " + source, format(reasons.front(), "sheet"));
         return false;
     }
+    if (sheet->text.empty())
+        sheet->text = std::string(text);
+    sheet->hash = SheetHash { XXH3_64bits(sheet->text.data(), sheet->text.size()) };
+    if (m_current && sheet->hash == m_current->hash) {
+        m_offered = hash;
+        return false;
+    }
     if (m_current && sheet->version <= m_current->version) {
         m_lastRejected = hash;
         const bool older = sheet->version < m_current->version;
         reportRejection(older ? ErrorKind::OlderSheet : ErrorKind::ConflictingSheet, source, std::to_string(sheet->version.value()), context);
         return false;
     }
-    sheet->hash = hash;
-    sheet->text = std::string(text);
+    m_offered = hash;
     m_current = std::make_shared<const Sheet>(std::move(*sheet));
     m_adoptedAt = context.now();
     context.report(DecisionKind::SheetAdopted, "sheet", "version " + std::to_string(m_current->version.value()) + " from " + source);
     return true;
 }
 
+bool ActiveSheet::isKnown(SheetHash hash) const
+{
+    return (m_current && (m_current->hash == hash || m_offered == hash)) || m_lastRejected == hash;
+}
+
 bool ActiveSheet::shouldRequest(SheetVersion version, SheetHash hash, const std::string& source, Context& context)
 {
     if (!version.value() || hash == m_lastRejected)
--- a/src/decision/active_sheet.h
+++ b/src/decision/active_sheet.h
@@ -24,7 +24,7 @@
     /// Parses a text and adopts it if its version is higher than that of the active sheet.
     ///
     /// A text that cannot be parsed, or whose version is not higher, is rejected with a report. The text of the
-    /// active sheet and the text rejected last are ignored without a report, since members offer them repeatedly.
+    /// active sheet and the text rejected last are ignored without a report, since they are offered repeatedly.
     ///
     /// @param text text of a sheet as published
     /// @param source sender of the text, for the decision record
@@ -48,11 +48,15 @@
     Time adoptedAt() const { return m_adoptedAt; }
 
 private:
+    /// @return whether a sheet of that hash, as published or as sent between members, is active or was rejected last
+    bool isKnown(SheetHash hash) const;
     void reportRejection(ErrorKind kind, const std::string& source, const std::string& detail, Context& context);
 
     SheetReader m_reader;
     SheetPtr m_current;
     Time m_adoptedAt;
+    /// Hash of the text from which the active sheet was parsed; `Sheet::hash` is that of the text sent to members.
+    SheetHash m_offered;
     SheetHash m_lastRejected;
 };
 
--- a/src/decision/request_flow.cpp
+++ b/src/decision/request_flow.cpp
@@ -129,7 +129,8 @@
 std::optional<RequestFlow::Refusal> RequestFlow::checkWorkspace(Request& request, const HeadReceived& event, Context& context)
 {
     if (event.forwarded) {
-        request.workspace = m_sheet->workspaces ? m_sheet->workspaces->findByName(WorkspaceName { std::string(event.workspace) }) : nullptr;
+        request.forwardedWorkspace = WorkspaceName { std::string(event.workspace) };
+        request.workspace = m_sheet->workspaces ? m_sheet->workspaces->findByName(request.forwardedWorkspace) : nullptr;
         return std::nullopt;
     }
     const bool confirmed = m_dependencies.sheetConfirmation.holds(context.now());
@@ -152,7 +153,7 @@
 
 WorkspaceLabel RequestFlow::labelOf(const Request& request)
 {
-    return { request.sheet->workspaces != nullptr, request.workspace ? request.workspace->name : WorkspaceName {} };
+    return { request.sheet->workspaces != nullptr, request.workspace ? request.workspace->name : request.forwardedWorkspace };
 }
 
 void RequestFlow::onBody(const BodyReceived& event, Context& context)
--- a/src/decision/request_flow.h
+++ b/src/decision/request_flow.h
@@ -173,8 +173,11 @@
         /// The sheet that the request is routed by; keeps `rule` valid.
         SheetPtr sheet;
         const SheetRule* rule = nullptr;
-        /// Null if the request belongs to no workspace.
+        /// Null if the request belongs to no workspace, or to one that the sheet of the instance which forwarded it lists, but not
+        /// the sheet here.
         const Workspace* workspace = nullptr;
+        /// Name that the instance stated which forwarded the request.
+        WorkspaceName forwardedWorkspace;
         ServicePtr service;
         Phase phase = Phase::Receiving;
         /// When the request was completely received.
--- a/src/shell/request_head.cpp
+++ b/src/shell/request_head.cpp
@@ -16,7 +16,7 @@
         return "target " + call.target;
     for (const Header& header : call.headers) {
         if (!isToken(header.name) || !isFieldValue(header.value))
-            return "header " + header.name + ": " + header.value;
+            return "header " + header.name;
     }
     return std::nullopt;
 }
--- a/tests/standin/server.cpp
+++ b/tests/standin/server.cpp
@@ -7,6 +7,7 @@
 #include <chrono>
 #include <cstdio>
 #include <cstdlib>
+#include <deque>
 #include <mutex>
 #include <random>
 #include <set>
@@ -17,6 +18,8 @@
 
     using Clock = std::chrono::steady_clock;
 
+    constexpr std::size_t MAX_HEADS = 200;
+
     /// A backend server with faults that are set at run time. Thread-safe.
     class Server {
     public:
@@ -69,6 +72,13 @@
                 const std::lock_guard lock(m_mutex);
                 return writeAll(socket, makeResponse(200, m_deadlines));
             }
+            if (request.target() == "/standin/heads") {
+                const std::lock_guard lock(m_mutex);
+                std::string heads;
+                for (const std::string& head : m_heads)
+                    heads += head + "\n\n";
+                return writeAll(socket, makeResponse(200, heads));
+            }
             if (request.target() == "/standin/health")
                 return serveHealth(socket);
             // A test can make the reported load differ from the real one.
@@ -128,6 +138,9 @@
         void recordDeadline(const Message& request)
         {
             const std::lock_guard lock(m_mutex);
+            m_heads.push_back(request.head);
+            if (m_heads.size() > MAX_HEADS)
+                m_heads.pop_front();
             const std::string own = request.header("cornelwind-deadline-ms");
             m_deadlines += request.target() + " " + (own.empty() ? request.header("deadline-ms") : own) + "\n";
         }
@@ -313,6 +326,8 @@
         std::set<int> m_connections;
         std::string m_record;
         std::string m_deadlines;
+        /// Heads of the latest requests.
+        std::deque<std::string> m_heads;
         std::string m_earlierRefusal;
         std::string m_earlierAnswer;
     };
--- a/tests/support/net.cpp
+++ b/tests/support/net.cpp
@@ -38,6 +38,7 @@
     {
         std::size_t position = head.find("\r\n");
         message.startLine = head.substr(0, position);
+        message.head = head;
         while (position != std::string::npos && position + 2 < head.size()) {
             const std::size_t start = position + 2;
             position = head.find("\r\n", start);
--- a/tests/support/net.h
+++ b/tests/support/net.h
@@ -41,6 +41,8 @@
 /// An HTTP/1.1 request or response, parsed without validation: a header line without a colon is skipped.
 struct Message {
     std::string startLine;
+    /// Start line and headers as received.
+    std::string head;
     /// Header values by name in lower case. The last of several equal names is kept.
     std::map<std::string, std::string> headers;
     std::string body;
--- a/tests/support/platform_store.cpp
+++ b/tests/support/platform_store.cpp
@@ -51,10 +51,10 @@
     addItem(item("servers/" + server, entry(server, service, slots)));
 }
 
-void PlatformStore::publish()
+void PlatformStore::publish(const std::string& configuration)
 {
     const std::string body = R"({"items":[)" + m_items + R"(],"hasMore":false,"asOf":)" + std::to_string(nextRevision()) + "}";
-    call(m_fleet.platformAddress(), "PUT", "/api/kv-key", {}, item("op/config", configuration(1)));
+    call(m_fleet.platformAddress(), "PUT", "/api/kv-key", {}, item("op/config", configuration.empty() ? PlatformStore::configuration(1) : configuration));
     call(m_fleet.platformAddress(), "PUT", "/api/kv-range", {}, body);
     ++m_revision;
 }
--- a/tests/support/platform_store.h
+++ b/tests/support/platform_store.h
@@ -22,7 +22,9 @@
     /// Adds an item that `publish` writes beside the entries.
     void addItem(const std::string& item) { m_items += (m_items.empty() ? "" : ",") + item; }
     /// Writes configuration and entries to the store. Instances that start from now on read them.
-    void publish();
+    ///
+    /// @param configuration routes and services as JSON; empty for those of `configuration`
+    void publish(const std::string& configuration = {});
 
     /// Reports changes to the watches of the store, all in one response. Reports those of earlier calls no more.
     ///
