--- a/include/cornelwind/event.h
+++ b/include/cornelwind/event.h
@@ -37,6 +37,10 @@
     std::string_view host = {};
     /// Request name shown in the logs, as the caller sent it; may be empty.
     std::string_view label = {};
+    /// API key of the caller; nothing if the request has none, or more than one.
+    std::optional<std::string_view> apiKey = {};
+    /// Workspace that the entry instance found which forwarded the request; empty if there is none.
+    std::string_view workspace = {};
 };
 
 /// The whole body of a request was received.
@@ -145,6 +149,20 @@
 struct PlatformReachable {
 };
 
+/// A call to the platform has ended. Every sheet that the platform acknowledged before it replied has been delivered, in events
+/// before this one.
+struct SheetConfirmed {
+    /// When the call was made.
+    Time calledAt;
+    /// Time for which the platform held the reply back; zero if it may have replied at once.
+    Duration held {};
+};
+
+/// The machine was suspended. The clock of `Event::at` did not count that time.
+struct MachineSuspended {
+    Duration time {};
+};
+
 /// The calls of this entry instance to the platform fail.
 struct PlatformUnreachable {
 };
@@ -191,7 +209,7 @@
 };
 
 using EventBody = std::variant<HeadReceived, BodyReceived, ReceiveFailed, CallerDisconnected, KeysRequested, TryFinished, OwnerReplied,
-    PeerMessageReceived, SheetFetched, InstancesListed, ServersListed, ServersPublished, PlatformReachable, PlatformUnreachable, SettingsChanged, ProbeFinished, StopRequested, Tick>;
+    PeerMessageReceived, SheetFetched, InstancesListed, ServersListed, ServersPublished, PlatformReachable, SheetConfirmed, MachineSuspended, PlatformUnreachable, SettingsChanged, ProbeFinished, StopRequested, Tick>;
 
 /// An input of the reducer.
 struct Event {
--- a/src/decision/reducer_state.h
+++ b/src/decision/reducer_state.h
@@ -43,6 +43,8 @@
     void on(const ServersListed& event, Context& context) { m_health.onServersListed(event, context); }
     void on(const StopRequested&, Context& context) { m_drain.onStopRequested(context); }
     void on(const PlatformReachable&, Context& context) { platformAnswered(context); }
+    void on(const SheetConfirmed& event, Context& context) { m_gossip.confirmSheet(event.calledAt, event.held, context.now()); }
+    void on(const MachineSuspended& event, Context& context) { m_gossip.onSuspended(event.time, context.now()); }
     void on(const SettingsChanged& event, Context&) { m_gossip.setSeeds(event.seeds); }
     void on(const PlatformUnreachable& event, Context& context);
     void on(const ServersPublished& event, Context& context);
@@ -66,6 +68,9 @@
     void updateWatch(Context& context);
     void reportWatch(Context& context) const;
     void updateReady(Context& context);
+    /// @return whether the API keys of the sheet may be accepted, if it lists any
+    bool keysConfirmed(Time now) const;
+    void reportApiKeysConfirmed(Context& context);
 
     KeyRegistry m_keys;
     Quarantine m_quarantine;
@@ -88,6 +93,9 @@
     bool m_serversPublishedSeparately;
     /// The latest order to the platform source.
     WatchPlatform m_watch {};
+    /// Whether requests are accepted since the start is complete.
+    bool m_started = false;
+    /// Whether the balancer is told to send requests.
     bool m_ready = false;
 };
 
