--- a/include/cornelwind/counters.h
+++ b/include/cornelwind/counters.h
@@ -25,6 +25,12 @@
     std::uint64_t repeated = 0;
     /// Tries that a backend server shed without running the request.
     std::uint64_t sheds = 0;
+    /// Tokens of workspace quotas that this entry instance granted, to itself and to others.
+    std::uint64_t quotaTokens = 0;
+    /// Requests refused because the quota of their workspace was used up.
+    std::uint64_t quotaRefusals = 0;
+    /// Requests that waited for a token of the quota of their workspace.
+    std::uint64_t quotaWaits = 0;
 };
 
 } // namespace cornelwind
--- a/include/cornelwind/decision.h
+++ b/include/cornelwind/decision.h
@@ -62,10 +62,16 @@
     WatchChanged,
     /// The sheet is known to be recent again, or no longer, so that API keys are accepted or refused.
     ApiKeysConfirmed,
+    /// This entry instance takes over the quota of a workspace from another one.
+    QuotaTakenOver,
+    /// Requests of a workspace are refused, because its quota is used up.
+    QuotaUsedUp,
+    /// No request of the workspace has been refused for a while.
+    QuotaAvailable,
 };
 
 /// Number of values of `DecisionKind`.
-inline constexpr std::size_t DECISION_KINDS = 26;
+inline constexpr std::size_t DECISION_KINDS = 29;
 
 /// @return the name used in logs, metrics and explanations
 const char* toString(DecisionKind);
@@ -74,7 +80,7 @@
 struct Decision {
     Time at;
     DecisionKind kind = DecisionKind::Refused;
-    /// Name of the backend server, service or entry instance concerned; `platform`; or the fingerprint of a request.
+    /// Name of the backend server, service, workspace or entry instance concerned; `platform`; or the fingerprint of a request.
     std::string subject;
     /// Observation that led to the decision.
     std::string evidence;
--- a/include/cornelwind/settings.h
+++ b/include/cornelwind/settings.h
@@ -51,6 +51,12 @@
     /// Time after which no entry instance may accept an API key that the sheet no longer lists, also one that reaches neither the
     /// platform nor other instances. Empty if such an instance may go on with the sheet that it knows.
     std::optional<Millis> keyRevocationDeadline;
+    /// Window in which the requests of a workspace are counted for its quota.
+    Millis quotaWindow { 5000 };
+    /// Part of a quota by which all entry instances together may exceed it while they do not agree on who grants it.
+    double quotaOver = 0.25;
+    /// Requests by which they may exceed it beyond that.
+    double quotaSlack = 20;
     /// Listen address for the readiness checks of the balancer; empty if it sends them to the callers' listener.
     std::optional<Endpoint> readiness;
     /// Address of the trace collector; empty if no traces are exported.
--- a/include/cornelwind/types.h
+++ b/include/cornelwind/types.h
@@ -27,6 +27,8 @@
 using ServerId = StrongType<struct ServerIdTag, std::uint64_t>;
 /// Hash of the name of a service, equal on all entry instances.
 using ServiceId = StrongType<struct ServiceIdTag, std::uint64_t>;
+/// Hash of the name of a workspace, equal on all entry instances.
+using WorkspaceId = StrongType<struct WorkspaceIdTag, std::uint64_t>;
 /// Handle of a request, valid within one entry instance only.
 using RequestId = StrongType<struct RequestIdTag, std::uint64_t>;
 /// Handle of one try: a request sent once to one backend server.
@@ -68,6 +70,9 @@
 /// @return the id of the service with this name
 ServiceId serviceIdOf(const ServiceName&);
 
+/// @return the id of the workspace with this name
+WorkspaceId workspaceIdOf(const WorkspaceName&);
+
 /// @return the value of the `Cornelwind-Outcome` header
 const char* toString(Outcome);
 
--- a/src/decision/reducer_state.cpp
+++ b/src/decision/reducer_state.cpp
@@ -46,7 +46,8 @@
     , m_members(settings.name, settings.zone, settings.peerRoutes)
     , m_gossip(makeIdentity(settings, incarnation), m_members, m_activeSheet)
     , m_health({ m_pool, m_quarantine, m_members, m_gossip, m_losses })
-    , m_flow({ m_pool, m_losses, m_keys, m_quarantine, m_health, m_members, m_gossip.confirmation(),
+    , m_quotas({ m_members, m_gossip }, { settings.quotaOver, settings.quotaSlack, settings.quotaWindow })
+    , m_flow({ m_pool, m_losses, m_keys, m_quarantine, m_health, m_members, m_gossip.confirmation(), m_quotas,
           [this](ServerId server, std::uint64_t incarnation, const ServerNotice& notice, Context& context) { m_notices.onNotice(server, incarnation, notice, context); },
           [this](Fingerprint fingerprint, Context& context) { m_health.onCrash(fingerprint, context); } })
     , m_serverLimits({ m_pool, m_members, m_gossip })
@@ -123,6 +124,8 @@
     if (!sender)
         return;
     const peer::Envelope& message = *event.message;
+    if (onQuotaMessage(message, *sender, context))
+        return m_flow.onQuotaDecisions(context);
     if (message.has_evidence())
         m_health.onEvidence(message.evidence(), *sender, context);
     else if (message.has_outcomes())
@@ -156,9 +159,31 @@
         m_drain.onMessage(message, *sender, context);
 }
 
+bool Reducer::State::onQuotaMessage(const peer::Envelope& message, const MemberRecord& sender, Context& context)
+{
+    switch (message.body_case()) {
+    case peer::Envelope::kQuotaRequest:
+        m_quotas.onRequest(message.quota_request(), sender, context);
+        return true;
+    case peer::Envelope::kQuotaReply:
+        m_quotas.onReply(message.quota_reply(), sender, context);
+        return true;
+    case peer::Envelope::kQuotaReturn:
+        m_quotas.onReturn(message.quota_return(), sender, context);
+        return true;
+    case peer::Envelope::kQuotaHandover:
+        m_quotas.onHandover(message.quota_handover(), sender, context);
+        return true;
+    default:
+        return false;
+    }
+}
+
 void Reducer::State::on(const Tick&, Context& context)
 {
     m_gossip.onTick(context);
+    m_quotas.onTick(context);
+    m_flow.onQuotaDecisions(context);
     m_flow.onTick(context);
     m_serverLimits.onTick(context);
     m_flow.dispatchQueues(context);
@@ -186,7 +211,9 @@
 void Reducer::State::adopt(const SheetPtr& sheet, Context& context)
 {
     m_pool.applySheet(*sheet, context.now());
+    m_quotas.adopt(*sheet, context);
     m_flow.adopt(sheet);
+    m_flow.onQuotaDecisions(context);
     m_health.adopt(sheet);
     if (sheet->callers && sheet->callers != m_callerLimits) {
         m_callerLimits = sheet->callers;
@@ -344,6 +371,13 @@
     context.emit(SetReady { confirmed });
 }
 
+Counters Reducer::State::counters() const
+{
+    Counters counters = m_flow.counters();
+    counters.quotaTokens = m_quotas.granted();
+    return counters;
+}
+
 Status Reducer::State::status(Time now) const
 {
     Status status;
--- a/src/decision/reducer_state.h
+++ b/src/decision/reducer_state.h
@@ -29,7 +29,7 @@
     void apply(const Event& event, EffectList& effects);
     void setSender(peer::Envelope& message) const { m_gossip.setSender(message); }
     Status status(Time now) const;
-    const Counters& counters() const { return m_flow.counters(); }
+    Counters counters() const;
     std::vector<Decision> explain(const std::string& subject, std::size_t maxCount) const { return m_decisions.matching(subject, maxCount); }
 
 private:
@@ -54,6 +54,10 @@
     void on(const PeerMessageReceived& event, Context& context);
     void on(const Tick&, Context& context);
 
+    /// Handles the messages of the quotas of workspaces.
+    ///
+    /// @return false if it is another message
+    bool onQuotaMessage(const peer::Envelope& message, const MemberRecord& sender, Context& context);
     void platformAnswered(Context& context);
     void offerSheet(const std::string& text, const std::string& source, Context& context);
     void adopt(const SheetPtr& sheet, Context& context);
@@ -81,6 +85,7 @@
     MemberTable m_members;
     Gossip m_gossip;
     Health m_health;
+    WorkspaceQuotas m_quotas;
     RequestFlow m_flow;
     ServerLimitExchange m_serverLimits;
     ServerNotices m_notices;
--- a/src/decision/request_flow.cpp
+++ b/src/decision/request_flow.cpp
@@ -166,7 +166,7 @@
     if (request->key)
         return beginKeyed(*request, context);
     request->service->budget.deposit();
-    admit(*request, context);
+    takeQuotaToken(*request, context);
 }
 
 void RequestFlow::onReceiveFailed(const ReceiveFailed& event, Context& context)
@@ -251,6 +251,7 @@
     const Request* request = find(id);
     if (!request || !request->answered || request->activeCount)
         return;
+    returnQuotaToken(*request, context);
     m_requests.erase(id);
     context.emit(ReleaseRequest { id });
 }
@@ -270,9 +271,10 @@
     const RequestId id = request.id;
     request.answered = true;
     const bool atMostOnce = request.rule && request.rule->kind == RequestKind::AtMostOnce;
-    if (request.phase == Phase::Queued && !request.runsOnUntil)
+    const bool waits = request.phase == Phase::Queued || request.phase == Phase::AwaitingQuota;
+    if (waits && !request.runsOnUntil)
         return leaveQueue(request, context);
-    if (atMostOnce && (request.phase == Phase::Queued || request.phase == Phase::Sent))
+    if (atMostOnce && (waits || request.phase == Phase::Sent))
         return;
     if (request.phase == Phase::Joined) {
         if (KeySpace* keySpace = m_dependencies.keys.find(request.key->incarnation))
@@ -285,7 +287,10 @@
 
 void RequestFlow::leaveQueue(Request& request, Context& context)
 {
-    request.service->queue.remove(request.id);
+    if (request.phase == Phase::AwaitingQuota)
+        m_dependencies.quotas.cancel(request.workspace->name, request.id, context);
+    else
+        request.service->queue.remove(request.id);
     completeRequest(request, { Outcome::NotRun, ErrorKind::DeadlinePassed, nullptr }, {}, context);
 }
 
@@ -328,6 +333,7 @@
         return;
     case Phase::Paused:
         return refuse(request, { ErrorKind::OwnerUnreachable, Outcome::Unknown, RETRY_AFTER }, context);
+    case Phase::AwaitingQuota:
     case Phase::Queued:
         return leaveQueue(request, context);
     case Phase::Sent:
--- a/src/decision/request_flow.h
+++ b/src/decision/request_flow.h
@@ -14,6 +14,7 @@
 #include "peer_directory.h"
 #include "send_observer.h"
 #include "workspaces/configuration_confirmation.h"
+#include "workspaces/workspace_quotas.h"
 
 #include <array>
 #include <functional>
@@ -41,6 +42,7 @@
         SendObserver& sendObserver;
         const PeerDirectory& peers;
         const ConfigurationConfirmation& sheetConfirmation;
+        WorkspaceQuotas& quotas;
         /// Called with what the response of one incarnation of a backend server says of it.
         std::function<void(ServerId, std::uint64_t incarnation, const ServerNotice&, Context&)> onNotice;
         /// Called when a backend server closed the connection of a request without a response.
@@ -85,6 +87,8 @@
     void onOwnerReplied(const OwnerReplied& event, Context& context);
     /// Runs expired timers and sends queued requests.
     void onTick(Context& context);
+    /// Continues or refuses the requests that waited for a token of the quota of their workspace.
+    void onQuotaDecisions(Context& context);
     /// Sends queued requests, after servers have opened.
     void dispatchQueues(Context& context);
 
@@ -143,6 +147,8 @@
         Receiving,
         /// Held back while keys are handed over.
         Paused,
+        /// Waits for a token of the quota of its workspace.
+        AwaitingQuota,
         /// Waits in the queue of its service.
         Queued,
         /// At least one try was started.
@@ -189,6 +195,10 @@
         bool answered = false;
         /// Whether a try was the trial of a suspected server.
         bool usedAsTrial = false;
+        /// Whether it has a token of the quota of its workspace, which it gives back if it never reaches a backend server.
+        bool holdsQuotaToken = false;
+        /// Whether any byte of it may have reached a backend server.
+        bool wasSent = false;
         Fingerprint fingerprint;
         std::optional<ParsedKey> key;
         /// The servers tried, of which the first `triedServerCount` are set.
@@ -251,6 +261,13 @@
     void forward(Request& request, const KeyOwner& owner, Context& context);
     bool needsKey(const Request& request) const;
 
+    // Quotas of workspaces.
+    /// Admits a request with a token of the quota of its workspace, if that has one; lets it wait for one, or refuses it.
+    void takeQuotaToken(Request& request, Context& context);
+    void refuseOverQuota(Request& request, Duration untilToken, Context& context);
+    /// Gives the token of a request back that ends without having been sent.
+    void returnQuotaToken(const Request& request, Context& context);
+
     // Admission and tries.
     /// Sends a request at once, queues it or refuses it.
     void admit(Request& request, Context& context);
--- a/src/decision/request_flow_keys.cpp
+++ b/src/decision/request_flow_keys.cpp
@@ -40,7 +40,7 @@
     switch (decision.action) {
     case KeyAction::Run:
         request.service->budget.deposit();
-        return admit(request, context);
+        return takeQuotaToken(request, context);
     case KeyAction::Join:
         ++m_counters.joined;
         request.phase = Phase::Joined;
@@ -88,7 +88,7 @@
 {
     const auto isInProgress = [](const auto& row) {
         const Phase phase = row.second.phase;
-        return row.second.key && (phase == Phase::Queued || phase == Phase::Sent || phase == Phase::Joined);
+        return row.second.key && (phase == Phase::AwaitingQuota || phase == Phase::Queued || phase == Phase::Sent || phase == Phase::Joined);
     };
     return std::none_of(m_requests.begin(), m_requests.end(), isInProgress);
 }
--- a/src/decision/request_flow_sends.cpp
+++ b/src/decision/request_flow_sends.cpp
@@ -213,6 +213,7 @@
     const ActiveTry ended = *position;
     std::move(position + 1, last, position);
     --request.activeCount;
+    request.wasSent = request.wasSent || event.result != TryResult::NotSent;
     m_dependencies.pool.end(ended.server);
     // A response of another server at the same address says nothing of this one.
     if (!event.misdirected && event.response)
--- a/src/decision/server_limits/server_limit_exchange.cpp
+++ b/src/decision/server_limits/server_limit_exchange.cpp
@@ -9,34 +9,14 @@
 namespace {
 
     constexpr std::size_t MAX_PEERS = 32;
-    constexpr Duration REPLY_TIMEOUT = std::chrono::milliseconds(150);
-    constexpr Duration SILENT_TIME = std::chrono::seconds(2);
     // Time for a grant that is due at once to arrive.
     constexpr Duration MIN_ASK_LIFETIME = std::chrono::milliseconds(100);
     // An earlier coordinator may be at work for this time.
     constexpr Duration TAKEOVER_TIME = std::chrono::seconds(3);
     constexpr double TAKEOVER_RATE = 0.5;
-    constexpr Duration OBSERVATION_INTERVAL = std::chrono::milliseconds(100);
-    constexpr std::uint64_t FINGERPRINT_FACTOR = 0x100000001b3;
     // Upper limit of the ages that peers state: 1 h.
     constexpr std::uint64_t MAX_AGE_US = 3'600'000'000;
 
-    std::uint64_t hashOf(ServerId server, const InstanceName& instance)
-    {
-        std::uint64_t bits = server.value() ^ serverIdOf(ServerName { instance.value() }).value();
-        bits = (bits ^ (bits >> 30)) * 0xbf58476d1ce4e5b9;
-        bits = (bits ^ (bits >> 27)) * 0x94d049bb133111eb;
-        return bits ^ (bits >> 31);
-    }
-
-    peer::Envelope& messageTo(const InstanceName& member, std::map<InstanceName, std::shared_ptr<peer::Envelope>>& outbox)
-    {
-        std::shared_ptr<peer::Envelope>& message = outbox[member];
-        if (!message)
-            message = std::make_shared<peer::Envelope>();
-        return *message;
-    }
-
     std::string describeLimit(const Limit& limit)
     {
         char text[64];
@@ -48,13 +28,14 @@
 
 ServerLimitExchange::ServerLimitExchange(Dependencies dependencies)
     : m_dependencies(dependencies)
+    , m_choice(dependencies.members, dependencies.gossip)
 {
 }
 
 void ServerLimitExchange::onTick(Context& context)
 {
     serverLimits().expire(context.now());
-    observeMembers(context.now());
+    m_choice.observe(context.now());
     passOverSilentMembers(context);
     returnUnused(context);
     sendAsks(context);
@@ -82,34 +63,34 @@
 {
     const Time now = context.now();
     std::erase_if(m_asks, [now](const auto& row) { return row.second.until <= now; });
-    Outbox outbox;
+    PeerOutbox outbox = makeOutbox();
     for (const auto& [server, patience] : serverLimits().wanted(now)) {
         if (m_asks.contains(server) || serverLimits().expectedOpening(server, now) > now + patience)
             continue;
-        const InstanceName coordinator = coordinatorOf(server, now);
+        const InstanceName coordinator = m_choice.coordinatorOf(server.value(), now);
         m_asks[server] = { coordinator, now + std::max(patience, MIN_ASK_LIFETIME) };
         if (coordinator == m_dependencies.members.self()) {
             expectGrant(server, m_coordinator.ask(server, coordinator, patience, grantRate(server, now), now), context);
             continue;
         }
-        peer::GrantAsk& row = *messageTo(coordinator, outbox).mutable_grant_request()->add_rows();
+        peer::GrantAsk& row = *outbox.messageTo(coordinator).mutable_grant_request()->add_rows();
         writeRow(server, *row.mutable_limit(), now);
         row.set_patience_ms(static_cast<std::uint32_t>(std::chrono::duration_cast<Millis>(patience).count()));
-        m_awaitedSince.emplace(coordinator, now);
+        m_choice.expectReply(coordinator, now);
     }
-    send(outbox, context);
+    outbox.send(context);
 }
 
 void ServerLimitExchange::returnUnused(Context& context)
 {
-    Outbox outbox;
+    PeerOutbox outbox = makeOutbox();
     for (const auto& [server, coordinator] : serverLimits().takeUnused(context.now())) {
         if (coordinator == m_dependencies.members.self())
             m_coordinator.giveBack(server, grantRate(server, context.now()), context.now());
         else
-            messageTo(coordinator, outbox).mutable_grant_return()->add_servers(server.value());
+            outbox.messageTo(coordinator).mutable_grant_return()->add_servers(server.value());
     }
-    send(outbox, context);
+    outbox.send(context);
 }
 
 void ServerLimitExchange::onGrantReturn(const peer::GrantReturn& unused, Context& context)
@@ -119,43 +100,29 @@
     handOut(context);
 }
 
-void ServerLimitExchange::send(Outbox& outbox, Context& context)
-{
-    for (auto& [name, message] : outbox) {
-        if (const MemberRecord* member = m_dependencies.members.find(name))
-            m_dependencies.gossip.send(*member, std::move(message), context);
-    }
-}
-
 // What was asked of a silent member is asked of the next one.
 void ServerLimitExchange::passOverSilentMembers(Context& context)
 {
-    std::erase_if(m_silentUntil, [&](const auto& row) { return row.second <= context.now(); });
-    std::erase_if(m_awaitedSince, [&](const auto& row) {
-        if (context.now() - row.second < REPLY_TIMEOUT)
-            return false;
-        m_silentUntil[row.first] = context.now() + SILENT_TIME;
-        std::erase_if(m_asks, [&](const auto& ask) { return ask.second.coordinator == row.first; });
-        return true;
-    });
+    for (const InstanceName& silent : m_choice.passOverSilent(context.now()))
+        std::erase_if(m_asks, [&](const auto& ask) { return ask.second.coordinator == silent; });
 }
 
 void ServerLimitExchange::handOut(Context& context)
 {
     if (m_coordinator.empty())
         return;
-    Outbox outbox;
+    PeerOutbox outbox = makeOutbox();
     const auto rate = [&](ServerId server) { return grantRate(server, context.now()); };
     for (const GrantCoordinator::Grant& grant : m_coordinator.takeDue(rate, context.now())) {
         if (grant.instance == m_dependencies.members.self()) {
             receiveGrant(grant.server, grant.instance, context);
             continue;
         }
-        peer::GrantRow& row = *messageTo(grant.instance, outbox).mutable_grant_reply()->add_rows();
+        peer::GrantRow& row = *outbox.messageTo(grant.instance).mutable_grant_reply()->add_rows();
         writeRow(grant.server, *row.mutable_limit(), context.now());
         row.set_granted(true);
     }
-    send(outbox, context);
+    outbox.send(context);
 }
 
 void ServerLimitExchange::onGrantRequest(const peer::GrantRequest& request, const MemberRecord& sender, Context& context)
@@ -179,7 +146,7 @@
 
 void ServerLimitExchange::onGrantReply(const peer::GrantReply& reply, const MemberRecord& sender, Context& context)
 {
-    m_awaitedSince.erase(sender.name);
+    m_choice.onReply(sender.name);
     for (const peer::GrantRow& row : reply.rows()) {
         const ServerId server { row.limit().server() };
         mergeRow(row.limit(), "instance " + sender.name.value(), context);
@@ -206,56 +173,14 @@
         m_asks.erase(ask);
 }
 
-InstanceName ServerLimitExchange::coordinatorOf(ServerId server, Time now) const
-{
-    InstanceName best;
-    std::uint64_t highest = 0;
-    const auto consider = [&](const InstanceName& name) {
-        const std::uint64_t hash = hashOf(server, name);
-        if (!best.value().empty() && hash <= highest)
-            return;
-        highest = hash;
-        best = name;
-    };
-    for (const MemberRecord* member : m_dependencies.members.live()) {
-        const auto silent = m_silentUntil.find(member->name);
-        if (silent == m_silentUntil.end() || silent->second <= now)
-            consider(member->name);
-    }
-    if (!m_dependencies.gossip.leaving() || best.value().empty())
-        consider(m_dependencies.members.self());
-    return best;
-}
-
 double ServerLimitExchange::grantRate(ServerId server, Time now) const
 {
     const Limit* limit = serverLimits().find(server);
     if (!limit || !limit->holds())
         return 0;
-    const Time since = std::min(m_coordinator.coordinatedSince(server).value_or(now), m_membersChangedAt);
-    const bool settled = now - since >= TAKEOVER_TIME && coordinatorOf(server, now) == m_dependencies.members.self();
-    return limit->perSecond * reachableShare() * (settled ? 1 : TAKEOVER_RATE);
-}
-
-void ServerLimitExchange::observeMembers(Time now)
-{
-    if (now < m_nextObservation)
-        return;
-    m_nextObservation = now + OBSERVATION_INTERVAL;
-    std::uint64_t fingerprint = 1;
-    for (const MemberRecord* member : m_dependencies.members.live())
-        fingerprint = fingerprint * FINGERPRINT_FACTOR + member->incarnation.value();
-    if (fingerprint != m_membersFingerprint)
-        m_membersChangedAt = now;
-    m_membersFingerprint = fingerprint;
-}
-
-double ServerLimitExchange::reachableShare() const
-{
-    const auto& records = m_dependencies.members.records();
-    const auto dead = std::count_if(records.begin(), records.end(), [](const auto& row) { return row.second.state == MemberState::Dead; });
-    const auto reachable = static_cast<double>(1 + m_dependencies.members.liveCount());
-    return reachable / (reachable + static_cast<double>(dead));
+    const Time since = std::min(m_coordinator.coordinatedSince(server).value_or(now), m_choice.membersChangedAt());
+    const bool settled = now - since >= TAKEOVER_TIME && m_choice.isSelf(m_choice.coordinatorOf(server.value(), now));
+    return limit->perSecond * m_choice.reachableShare() * (settled ? 1 : TAKEOVER_RATE);
 }
 
 void ServerLimitExchange::mergeRow(const peer::LimitRow& row, const std::string& source, Context& context)
--- a/src/decision/server_limits/server_limit_exchange.h
+++ b/src/decision/server_limits/server_limit_exchange.h
@@ -1,13 +1,13 @@
 #pragma once
 
 #include "context.h"
+#include "coordinator_choice.h"
 #include "cornelwind/server_pool.h"
 #include "gossip.h"
 #include "member_table.h"
+#include "peer_outbox.h"
 #include "server_limits/grant_coordinator.h"
 
-#include <map>
-#include <memory>
 #include <optional>
 #include <string>
 #include <unordered_map>
@@ -62,24 +62,15 @@
         Time until;
     };
 
-    /// One message to each of several members.
-    using Outbox = std::map<InstanceName, std::shared_ptr<peer::Envelope>>;
-
     void sendAsks(Context& context);
     void returnUnused(Context& context);
-    void send(Outbox& outbox, Context& context);
+    PeerOutbox makeOutbox() { return { m_dependencies.members, m_dependencies.gossip }; }
     void passOverSilentMembers(Context& context);
     void handOut(Context& context);
     void expectGrant(ServerId server, Duration wait, Context& context);
     void receiveGrant(ServerId server, const InstanceName& coordinator, Context& context);
-    /// @return the coordinator of a server, among this entry instance and the members that reply
-    InstanceName coordinatorOf(ServerId server, Time now) const;
     /// @return grants a second that this entry instance hands out for a server; 0 if it is not limited
     double grantRate(ServerId server, Time now) const;
-    /// Notes when the live members change.
-    void observeMembers(Time now);
-    /// @return the part of all known members, dead ones included, that this entry instance can reach
-    double reachableShare() const;
     void mergeRow(const peer::LimitRow& row, const std::string& source, Context& context);
     void writeRow(ServerId server, peer::LimitRow& row, Time now) const;
     void reportChange(LimitChange change, ServerId server, Context& context) const;
@@ -89,14 +80,7 @@
     Dependencies m_dependencies;
     GrantCoordinator m_coordinator;
     std::unordered_map<ServerId, Ask> m_asks;
-    /// When the first request was sent to a member that has not replied since.
-    std::map<InstanceName, Time> m_awaitedSince;
-    /// Members that did not reply, with the time until which they are passed over.
-    std::map<InstanceName, Time> m_silentUntil;
-    /// When the live members last changed, as their incarnations show; the start of this entry instance at first.
-    Time m_membersChangedAt;
-    std::uint64_t m_membersFingerprint = 0;
-    Time m_nextObservation;
+    CoordinatorChoice m_choice;
 };
 
 } // namespace cornelwind
--- a/src/decision/types.cpp
+++ b/src/decision/types.cpp
@@ -37,6 +37,11 @@
     return ServiceId { XXH3_64bits(name.value().data(), name.value().size()) };
 }
 
+WorkspaceId workspaceIdOf(const WorkspaceName& name)
+{
+    return WorkspaceId { XXH3_64bits(name.value().data(), name.value().size()) };
+}
+
 const char* toString(Outcome outcome)
 {
     switch (outcome) {
--- a/src/shell/metrics.cpp
+++ b/src/shell/metrics.cpp
@@ -61,6 +61,9 @@
         families.counter("cornelwind_joined_total", "Requests that waited for the result of an earlier request with the same idempotency key.", counters.joined);
         families.counter("cornelwind_repeated_total", "Requests answered with the stored response of their idempotency key.", counters.repeated);
         families.counter("cornelwind_sheds_total", "Tries that a backend server shed without running the request.", counters.sheds);
+        families.counter("cornelwind_quota_tokens_total", "Tokens of workspace quotas granted by this instance, to itself and to others.", counters.quotaTokens);
+        families.counter("cornelwind_quota_refusals_total", "Requests refused because the quota of their workspace was used up.", counters.quotaRefusals);
+        families.counter("cornelwind_quota_waits_total", "Requests that waited for a token of the quota of their workspace.", counters.quotaWaits);
     }
 
     void addIdleServers(MetricFamilies& families, const Status& status)
