Let requests of a service compete by value where the sheet says so

Cause: a request of a service with rules of different priority or target latency, or with workspaces, was refused as soon as it would miss its target latency, and retries and hedges took slots before more urgent requests that wait. Change: such a service gets the queue that orders by value, also when a later sheet makes it one; requests that wait move to it. Its requests wait until their deadline minus their expected work, learned for each rule from responses. Where requests are placed by slots, queue_ms still bounds the wait. Retries and hedges give way to a waiting request of higher value. The counters displaced, refusedTooLate and servedLate, and the reason in the records placed and refused, show what the queue did.

--- a/include/cornelwind/counters.h
+++ b/include/cornelwind/counters.h
@@ -25,6 +25,12 @@
     std::uint64_t repeated = 0;
     /// Tries that a backend server shed without running the request.
     std::uint64_t sheds = 0;
+    /// Waiting requests refused because others took their places in a full queue.
+    std::uint64_t displaced = 0;
+    /// Requests refused on arrival because they could not be done before their deadlines.
+    std::uint64_t refusedTooLate = 0;
+    /// Requests that waited and were sent although they were expected to miss their target latency.
+    std::uint64_t servedLate = 0;
 };
 
 } // namespace cornelwind
--- a/include/cornelwind/request_record.h
+++ b/include/cornelwind/request_record.h
@@ -74,7 +74,8 @@
     Duration elapsed {};
     /// SendFailed and Answered: HTTP status of the backend server; 0 without a response.
     std::uint16_t status = 0;
-    /// NotSentAgain: why the request is not retried.
+    /// NotSentAgain: why the request is not retried. Refused: why the queue of the service refused it; empty if it did not.
+    /// Placed: why it is sent late; empty if it is not.
     const char* reason = "";
     /// Refused: error, outcome and retry time sent to the caller.
     ErrorKind error = ErrorKind::None;
--- a/include/cornelwind/retry_after.h
+++ b/include/cornelwind/retry_after.h
@@ -10,6 +10,8 @@
 enum class RefusalCause : std::uint8_t {
     /// The service is at capacity. A slot becomes free after the expected wait.
     Full,
+    /// The request could not be done before its deadline; a later one with as much time can.
+    TooLate,
     /// Backend servers shed the request although they have free slots.
     Shed,
     /// This entry instance reaches no backend server, but another entry instance may.
@@ -23,7 +25,7 @@
     RefusalCause cause = RefusalCause::Full;
     /// Usual response time of the service; zero while unknown.
     Duration typical {};
-    /// Expected wait for a free slot; zero while unknown.
+    /// Expected wait for a free slot, or `TooLate`: time after which a request with as much time can be done; zero while unknown.
     Duration wait {};
     /// Time until the deadline of the request.
     Duration remaining {};
--- a/src/decision/admission/value_queue.cpp
+++ b/src/decision/admission/value_queue.cpp
@@ -1,6 +1,7 @@
 #include "admission/value_queue.h"
 
 #include <algorithm>
+#include <limits>
 #include <numeric>
 
 namespace cornelwind {
@@ -95,10 +96,12 @@
     const auto entry = nextEntry(now);
     if (entry == m_entries.end())
         return false;
-    QueuedRequest limitedRequest = request;
-    limitedRequest.priority = limited(request.priority);
-    // A request that does not wait was sent before, so it arrived before those that wait.
-    return rankOf(entry->queued, entry->arrival, now) < rankOf(limitedRequest, 0, now);
+    QueuedRequest sent = request;
+    sent.priority = limited(request.priority);
+    Rank rank = rankOf(sent, 0, now);
+    // A request that does not wait had the turn of its workspace when it was first sent.
+    rank.turn = std::numeric_limits<double>::lowest();
+    return rankOf(entry->queued, entry->arrival, now) < rank;
 }
 
 QueueAdmission ValueQueue::enter(const QueuedRequest& arriving, const QueueLoad& load)
--- a/src/decision/request_flow.cpp
+++ b/src/decision/request_flow.cpp
@@ -35,6 +35,7 @@
         setBurst(*service);
     }
     std::erase_if(m_services, [](const auto& row) { return !row.second->index && row.second.use_count() == 1; });
+    adoptQueueOrders();
 }
 
 // The whole fleet shares the allowance. A part of it stays reserved for instances that restart.
@@ -232,6 +233,7 @@
     record.error = error;
     record.outcome = result.outcome;
     record.retryAfter = retryAfter;
+    record.reason = request.queueReason;
     context.emit(RecordRequest { std::move(record) });
     context.emit(Refuse { request.id, error, result.outcome, retryAfter, std::move(nextKey) });
     context.report(DecisionKind::Refused, request.service ? request.service->name.value() : std::string("unrouted"),
@@ -285,7 +287,7 @@
 
 void RequestFlow::leaveQueue(Request& request, Context& context)
 {
-    request.service->queue.remove(request.id);
+    request.service->queue->remove(request.id);
     completeRequest(request, { Outcome::NotRun, ErrorKind::DeadlinePassed, nullptr }, {}, context);
 }
 
@@ -313,10 +315,7 @@
         }
     }
     for (auto& [name, service] : m_services) {
-        for (const RequestId expired : service->queue.expire(context.now())) {
-            if (Request* request = find(expired))
-                completeRequest(*request, { Outcome::NotRun, ErrorKind::QueueTimeout, nullptr }, retryAfterOf(*request, RefusalCause::Full, context), context);
-        }
+        expireQueued(*service, context);
         dispatchQueue(*service, context);
     }
 }
--- a/src/decision/request_flow.h
+++ b/src/decision/request_flow.h
@@ -1,7 +1,8 @@
 #pragma once
 
+#include "admission/expected_work.h"
+#include "admission/request_queue.h"
 #include "context.h"
-#include "cornelwind/admission.h"
 #include "cornelwind/counters.h"
 #include "cornelwind/event.h"
 #include "cornelwind/quarantine.h"
@@ -122,7 +123,10 @@
         SheetService config;
         /// Index in the sheet in force; nothing if the sheet no longer contains the service.
         std::optional<std::uint32_t> index;
-        AdmissionQueue queue;
+        /// Never null.
+        std::unique_ptr<RequestQueue> queue = makeArrivalQueue();
+        /// Work of the requests of each rule, by name; empty unless the queue orders by value.
+        std::unordered_map<std::string, WorkEstimate> works;
         RetryBudget budget;
         /// Usual time of a response.
         LatencyEstimate latency;
@@ -194,6 +198,8 @@
         /// The servers tried, of which the first `triedServerCount` are set.
         std::array<ServerId, MAX_TRIED> tried;
         std::uint8_t triedServerCount = 0;
+        /// Why the queue of its service refused it, for the log; empty if it did not.
+        const char* queueReason = "";
         /// Number of tries started.
         std::uint8_t tryCount = 0;
         /// Tries that may have run the request: all but those known not to have done so.
@@ -258,6 +264,25 @@
     std::optional<Refusal> refusalBeforeSend(const Request& request, Context& context) const;
     /// @return a refusal if no server opens before the request would be too late
     std::optional<Refusal> refusalOfWait(const Request& request, Context& context) const;
+    /// Lets a request wait for a slot, or refuses it.
+    void enqueue(Request& request, Context& context);
+    /// Refuses a request that waits, or that the queue did not admit.
+    void refuseQueued(Request& request, ErrorKind error, Millis retryAfter, const char* reason, Context& context);
+    /// Refuses the requests that waited until they could no longer be done in time.
+    void expireQueued(Service& service, Context& context);
+    /// @return the request as the queue of its service sees it
+    QueuedRequest queuedRequestOf(const Request& request, Time now) const;
+    /// @return the work of the request, unknown unless the queue of its service orders by value
+    static ExpectedWork expectedWork(const Request& request);
+    static bool ordersByValue(const Request& request) { return request.service->queue->ordersByValue(); }
+    /// @return whether a request of higher value waits for the slot that another try of this one would take
+    bool isOutranked(const Request& request, Time now) const;
+    /// Orders the queue by value or by arrival from now on; the requests that wait are kept.
+    void setQueueOrder(Service& service, bool byValue);
+    /// Sets the orders of all queues by the sheet, and forgets the works of rules that it no longer has.
+    void adoptQueueOrders();
+    /// @return the target latency of the rule, or half its time limit if it has none
+    static Millis targetLatencyOf(const Request& request);
     /// Chooses a server and sends the request to it.
     ///
     /// @return false if no server may take the request now
@@ -293,10 +318,13 @@
     double acceptableRisk(const Request& request, Time now) const;
     /// @return number of requests that the chosen server may have in flight beyond its slots
     std::uint32_t allowedOvercommit(const Request& request, Time now) const;
+    /// @return time in which so many requests start at the recent rate of tries; zero if unknown
+    static Duration timeForStarts(const Service& service, std::size_t starts, Time now);
     /// @return expected time in the queue, computed from its length and the recent rate of tries; zero if unknown
-    Duration expectedWait(const Service& service, Time now) const;
+    static Duration expectedWait(const Service& service, Time now);
+    /// @param possibleAfter TooLate: time after which a request like this one can be done before its deadline
     /// @return retry time for the caller of a refused request
-    Millis retryAfterOf(const Request& request, RefusalCause cause, Context& context) const;
+    Millis retryAfterOf(const Request& request, RefusalCause cause, Context& context, Duration possibleAfter = {}) const;
     /// @return time until which a request may wait in the queue
     Time queueDeadline(const Request& request, Time now) const;
     /// Records tries beyond the latency bound and hedges an idempotent request.
@@ -378,6 +406,8 @@
     Time m_lastTick;
     /// When this process last resumed after it had been suspended or starved of CPU.
     Time m_resumedAt;
+    /// Mean quota of the workspaces of the sheet that have one, in requests a second; 1 if none has.
+    double m_meanQuota = 1;
     std::uint32_t m_retryAllowance = 0;
     std::uint32_t m_fleetSize = 1;
     /// Current point, from 0 to 1, of the sequence that splits the requests of a rule, by rule name.
--- a/src/decision/request_flow_placement.cpp
+++ b/src/decision/request_flow_placement.cpp
@@ -1,4 +1,4 @@
-// RequestFlow: admission, queueing and the choice of a backend server.
+// RequestFlow: admission and the choice of a backend server.
 #include "request_flow.h"
 
 #include <algorithm>
@@ -32,27 +32,12 @@
     const bool idempotent = request.rule->kind == RequestKind::Idempotent;
     service.trialTokens = std::min(service.trialTokens + (idempotent ? IDEMPOTENT_TRIAL_SHARE : TRIAL_SHARE), MAX_TRIAL_TOKENS);
     service.idempotentShare += IDEMPOTENT_SHARE_WEIGHT * ((idempotent ? 1 : 0) - service.idempotentShare);
-    const auto next = service.queue.front();
-    if (!next && trySend(request, context))
-        return;
+    service.queue->countArrival(priorityOf(request));
+    if (!service.queue->size() && trySend(request, context))
+        return service.queue->countStart(priorityOf(request));
     if (const auto refusal = refusalOfWait(request, context))
         return completeRequest(request, { refusal->outcome, refusal->error, nullptr }, refusal->retryAfter, context);
-    if (placedByCost(request) && context.now() + expectedWait(service, context.now()) > queueDeadline(request, context.now()))
-        return completeRequest(request, { Outcome::NotRun, ErrorKind::QueueFull, nullptr }, retryAfterOf(request, RefusalCause::Full, context), context);
-    const Time expires = queueDeadline(request, context.now());
-    const auto admission = service.queue.enter({ request.id, expires }, priorityOf(request), service.config.queueLimit);
-    if (admission.displaced) {
-        if (Request* displaced = find(*admission.displaced))
-            completeRequest(*displaced, { Outcome::NotRun, ErrorKind::QueueFull, nullptr }, retryAfterOf(*displaced, RefusalCause::Full, context), context);
-    }
-    if (!admission.admitted)
-        return completeRequest(request, { Outcome::NotRun, ErrorKind::QueueFull, nullptr }, retryAfterOf(request, RefusalCause::Full, context), context);
-    request.phase = Phase::Queued;
-    RequestRecord record = makeRecord(request, RequestStep::Waiting, context.now());
-    record.queued = static_cast<std::uint32_t>(service.queue.size());
-    record.expectedWait = expectedWait(service, context.now());
-    context.emit(RecordRequest { std::move(record) });
-    dispatchQueue(service, context);
+    enqueue(request, context);
 }
 
 std::optional<RequestFlow::Refusal> RequestFlow::refusalBeforeSend(const Request& request, Context& context) const
@@ -87,7 +72,7 @@
     pick.random = context.random();
     pick.waited = context.now() - request.admittedAt;
     pick.patience = queueDeadline(request, request.admittedAt) - context.now();
-    pick.waiting = request.service->queue.size() + 1;
+    pick.waiting = request.service->queue->size() + 1;
     pick.excluded = { request.tried.data(), request.triedServerCount };
     const bool byCost = placedByCost(request);
     pick.trialAllowed = mayRunTrial(request);
@@ -122,7 +107,7 @@
 {
     // Acceptable risk of a request that has not waited.
     constexpr double initialRisk = 0.35;
-    const Millis targetLatency = request.rule->targetLatency.value_or(request.rule->timeLimit / 2);
+    const Millis targetLatency = targetLatencyOf(request);
     const double waitedFraction = static_cast<double>((now - request.admittedAt).count()) / static_cast<double>(Duration { targetLatency }.count());
     return std::min(initialRisk + (1 - initialRisk) * waitedFraction, 1.0);
 }
@@ -137,34 +122,6 @@
     return static_cast<std::uint32_t>((now - request.admittedAt) / typical);
 }
 
-Duration RequestFlow::expectedWait(const Service& service, Time now) const
-{
-    constexpr Duration window = std::chrono::seconds(1);
-    const Duration countedTime = window + std::clamp<Duration>(now - service.windowStart, Duration {}, window);
-    const std::uint32_t tries = service.tries + service.previousTries;
-    // No estimate is possible from fewer than two tries.
-    if (tries < 2)
-        return {};
-    return countedTime * static_cast<std::int64_t>(service.queue.size()) / tries;
-}
-
-Millis RequestFlow::retryAfterOf(const Request& request, RefusalCause cause, Context& context) const
-{
-    if (!placedByCost(request))
-        return RETRY_AFTER;
-    const Service& service = *request.service;
-    return retryAfter({ cause, service.latency.geometricMean(), expectedWait(service, context.now()), request.deadline - context.now() }, context.random());
-}
-
-Time RequestFlow::queueDeadline(const Request& request, Time now) const
-{
-    if (!placedByCost(request))
-        return std::min<Time>(request.deadline, now + request.service->config.maxQueueTime);
-    // A request waits only while it can still be served in time; any other is refused at once with a retry time.
-    const Millis targetLatency = request.rule->targetLatency.value_or(request.rule->timeLimit / 2);
-    return std::min<Time>(request.deadline - request.service->latency.geometricMean(), now + targetLatency);
-}
-
 // The instance that a slot is reserved for may use it at the same time; the server then sheds one of the two requests. An
 // at-most-once request is not retried after that, so it waits longer for a slot of its own instance.
 bool RequestFlow::mayBorrowSlot(const Request& request, Time now) const
--- a/src/decision/request_flow_records.cpp
+++ b/src/decision/request_flow_records.cpp
@@ -32,6 +32,9 @@
     record.slots = server.config.slots.value();
     record.tryTime = tryDeadline - context.now();
     record.callerTime = request.deadline - context.now();
+    const bool waited = request.tryCount == 1 && context.now() > request.admittedAt;
+    if (ordersByValue(request) && waited && context.now() + expectedWork(request).most() > request.admittedAt + targetLatencyOf(request))
+        record.reason = "expected to miss its target latency";
     context.emit(RecordRequest { std::move(record) });
 }
 
--- a/src/decision/request_flow_sends.cpp
+++ b/src/decision/request_flow_sends.cpp
@@ -31,7 +31,7 @@
     recordPlaced(request, server, deadline, context);
     m_dependencies.pool.begin(server, context.now());
     const bool byCost = placedByCost(request);
-    if (byCost)
+    if (byCost || ordersByValue(request))
         countTry(*request.service, context.now());
     if (!byCost)
         m_dependencies.sendObserver.trySent(id, server.id, context.now());
@@ -71,29 +71,6 @@
     ++service.tries;
 }
 
-void RequestFlow::dispatchQueue(Service& service, Context& context)
-{
-    while (const auto next = service.queue.front()) {
-        Request* request = find(*next);
-        if (!request) {
-            service.queue.popFront();
-            continue;
-        }
-        if (const auto refusal = refusalBeforeSend(*request, context)) {
-            service.queue.popFront();
-            completeRequest(*request, { refusal->outcome, refusal->error, nullptr }, refusal->retryAfter, context);
-            continue;
-        }
-        const bool sent = trySend(*request, context);
-        const auto refusal = sent ? std::nullopt : refusalOfWait(*request, context);
-        if (!sent && !refusal)
-            return;
-        service.queue.popFront();
-        if (refusal)
-            completeRequest(*request, { refusal->outcome, refusal->error, nullptr }, refusal->retryAfter, context);
-    }
-}
-
 void RequestFlow::onSlow(Request& request, Context& context)
 {
     const Duration bound = request.service->latency.upperBound();
@@ -150,6 +127,8 @@
         return "too little time left";
     if (m_dependencies.quarantine.isBlocked(request.fingerprint, context.now()))
         return "request quarantined";
+    if (isOutranked(request, context.now()))
+        return "a request of higher value waits";
     // A retry after a try that did not reach its server adds no load, so it needs no budget.
     if (reachedServer && !request.service->budget.withdraw())
         return "retry budget exhausted";
@@ -166,7 +145,7 @@
         return false;
     if (context.now() + MIN_TRY_TIME >= request.deadline || m_dependencies.quarantine.isBlocked(request.fingerprint, context.now()))
         return false;
-    if (!request.service->budget.withdraw())
+    if (isOutranked(request, context.now()) || !request.service->budget.withdraw())
         return false;
     if (!trySend(request, context))
         return false;
@@ -178,7 +157,7 @@
 {
     if (request.phase != Phase::Sent || request.activeCount != 1 || request.tryCount != 1 || !maySend(request, context.now()))
         return;
-    if (!request.service->budget.withdraw())
+    if (isOutranked(request, context.now()) || !request.service->budget.withdraw())
         return;
     if (trySend(request, context))
         ++m_counters.hedges;
@@ -260,6 +239,8 @@
     m_dependencies.sendObserver.tryEnded(ended.id, failed ? SendEvidence::Failure : SendEvidence::Success, context.now());
     if (placedByCost(request))
         observeResponse(request, ended, failed, context);
+    if (ordersByValue(request) && !failed && !event.misdirected && ended.sentAt >= m_resumedAt)
+        request.service->works[request.rule->name].add(context.now() - ended.sentAt);
     if (event.misdirected)
         holdBack(ended.server, MISDIRECTED_BACKOFF, context);
     if (failed && !request.answered && (request.activeCount || retry(request, context)))
@@ -298,7 +279,7 @@
         return;
     // Nothing was written, so even an at-most-once request may be sent to another server.
     const bool atMostOnce = request.rule->kind == RequestKind::AtMostOnce;
-    if (atMostOnce && request.tryCount < MAX_CONNECT_TRIES && context.now() + MIN_TRY_TIME < endOfTries(request) && trySend(request, context))
+    if (atMostOnce && request.tryCount < MAX_CONNECT_TRIES && context.now() + MIN_TRY_TIME < endOfTries(request) && !isOutranked(request, context.now()) && trySend(request, context))
         return;
     const Outcome outcome = atMostOnce || request.tryCount == 1 ? Outcome::NotRun : Outcome::Unknown;
     completeRequest(request, { outcome, ErrorKind::ServerUnreachable, nullptr }, RETRY_AFTER, context);
--- a/src/decision/retry_after.cpp
+++ b/src/decision/retry_after.cpp
@@ -23,6 +23,9 @@
         switch (input.cause) {
         case RefusalCause::Full:
             return std::max(input.wait, typical);
+        case RefusalCause::TooLate:
+            // The jitter takes away at most half of it.
+            return 2 * input.wait;
         case RefusalCause::Shed:
             return typical / 2;
         case RefusalCause::Unreachable:
--- a/src/shell/metrics.cpp
+++ b/src/shell/metrics.cpp
@@ -61,6 +61,9 @@
         families.counter("cornelwind_joined_total", "Requests that waited for the result of an earlier request with the same idempotency key.", counters.joined);
         families.counter("cornelwind_repeated_total", "Requests answered with the stored response of their idempotency key.", counters.repeated);
         families.counter("cornelwind_sheds_total", "Tries that a backend server shed without running the request.", counters.sheds);
+        families.counter("cornelwind_displaced_total", "Waiting requests refused because others took their places in a full queue.", counters.displaced);
+        families.counter("cornelwind_refused_too_late_total", "Requests refused on arrival because they could not be done before their deadlines.", counters.refusedTooLate);
+        families.counter("cornelwind_served_late_total", "Requests that waited and were sent although expected to miss their target latency.", counters.servedLate);
     }
 
     void addIdleServers(MetricFamilies& families, const Status& status)
--- a/src/shell/request_log.cpp
+++ b/src/shell/request_log.cpp
@@ -35,6 +35,12 @@
         add(fields, key, std::string(text));
     }
 
+    void addReason(const RequestRecord& record, std::string& fields)
+    {
+        if (*record.reason)
+            addQuoted(fields, "reason", record.reason);
+    }
+
     void formatPlaced(const RequestRecord& record, std::string& fields)
     {
         add(fields, "server", escapeForLog(record.server));
@@ -44,6 +50,7 @@
         add(fields, "slots", record.slots);
         addMillis(fields, "try_ms", record.tryTime);
         addMillis(fields, "left_ms", record.callerTime);
+        addReason(record, fields);
     }
 
     void formatWaiting(const RequestRecord& record, std::string& fields)
@@ -70,6 +77,7 @@
         add(fields, "outcome", std::string(toString(record.outcome)));
         if (record.retryAfter)
             add(fields, "retry_after_ms", static_cast<std::uint64_t>(record.retryAfter->count()));
+        addReason(record, fields);
     }
 
     void formatNoFields(const RequestRecord&, std::string&) { }
--- a/tests/reducer_test.cpp
+++ b/tests/reducer_test.cpp
@@ -560,3 +560,50 @@
         CHECK(reducer.status(now).ready == row.isAdopted);
     }
 }
+
+// Guards against a change of services whose requests do not compete, and against competing requests that are refused although
+// they can still be done before their deadline.
+TEST_CASE("Requests wait past their target latency and by value only where they compete")
+{
+    struct Row {
+        const char* name;
+        Placement placement;
+        /// Priority of the rule of /u, whose requests come last; that of the other rule is 1.
+        int priority;
+        /// Time after which a server becomes free.
+        Millis busy;
+        /// Paths of the requests in the order in which they are sent.
+        std::string sent;
+        ErrorKind error;
+    };
+    // Without a target latency in the sheet, it is half of the time limit of 1 s. `queue_ms` is 100.
+    const auto [name, placement, priority, busy, sent, error] = GENERATE(values<Row>({
+        { "by arrival", Placement::ExpectedCost, 1, Millis { 300 }, "/x /u ", ErrorKind::None },
+        { "by arrival, late", Placement::ExpectedCost, 1, Millis { 600 }, "", ErrorKind::QueueTimeout },
+        { "by arrival, by slots", Placement::Slots, 1, Millis { 50 }, "/x /u ", ErrorKind::None },
+        { "by arrival, by slots, late", Placement::Slots, 1, Millis { 150 }, "", ErrorKind::QueueTimeout },
+        { "by value", Placement::ExpectedCost, 0, Millis { 300 }, "/u /x ", ErrorKind::None },
+        { "by value, late", Placement::ExpectedCost, 0, Millis { 600 }, "/u /x ", ErrorKind::None },
+        { "by value, by slots, late", Placement::Slots, 0, Millis { 150 }, "", ErrorKind::QueueTimeout },
+    }));
+    CAPTURE(name);
+    const std::string urgent = "[[rule]]\nmethod = \"GET\"\npath = \"/u\"\nservice = \"s\"\nkind = \"idempotent\"\nkey = \"none\"\n"
+                               "time_limit_ms = 1000\npriority = "
+        + std::to_string(priority) + "\n";
+    Driver driver(makeSheet(1, rule("idempotent") + urgent), placement);
+    driver.request();
+    REQUIRE(driver.sends.size() == 1);
+    const RequestId other = driver.request({}, 2, "/x");
+    driver.request({}, 3, "/u");
+    driver.advance(busy);
+    std::string order;
+    while (!driver.sends.empty()) {
+        driver.finish(TryResult::Answered);
+        if (!driver.sends.empty())
+            order += driver.sends.front().request == other ? "/x " : "/u ";
+    }
+    CHECK(order == sent);
+    CHECK(driver.refusals.size() == (error == ErrorKind::None ? 0 : 2));
+    for (const Refuse& refusal : driver.refusals)
+        CHECK(refusal.error == error);
+}
