Test the queue that orders by value with random steps, deadlines and late requests

Cause: only tables of loads played it. Change: policy_fuzz checks that it keeps its limit and loses no request; deadline_fuzz has requests compete with every second sheet; reducer_test checks the refusal on arrival and its retry time.

--- a/fuzz/deadline_fuzz.cpp
+++ b/fuzz/deadline_fuzz.cpp
@@ -71,6 +71,8 @@
             rule.hedgeAfter = route.hedgeAfter;
             rule.timeLimit = TIME_LIMIT;
             rule.runLimit = route.runLimit;
+            // With every second sheet, requests compete, so that queues order them by value.
+            rule.priority = version % 2 ? 1 : route.tries;
             sheet.rules.push_back(std::move(rule));
         }
         sheet.services.push_back(std::move(service));
--- a/fuzz/policy_fuzz.cpp
+++ b/fuzz/policy_fuzz.cpp
@@ -1,5 +1,6 @@
 // Stateful fuzz tests of the retry budget, admission, slot shares, ejection, detection and quarantine. They check invariants,
 // and compare admission and quarantine with simple models.
+#include "admission/request_queue.h"
 #include "context.h"
 #include "cornelwind/admission.h"
 #include "cornelwind/detector.h"
@@ -14,6 +15,7 @@
 
 #include <algorithm>
 #include <cstdlib>
+#include <set>
 #include <vector>
 
 using namespace cornelwind;
@@ -100,6 +102,37 @@
     });
 }
 
+TEST_CASE("The queue that orders by value keeps its limit, loses no request and starts what it named")
+{
+    checkProperty("value queue", [](const std::vector<std::pair<std::uint8_t, std::uint8_t>>& steps) {
+        const std::size_t limit = *rc::gen::inRange<std::size_t>(0, 8);
+        const auto queue = makeValueQueue();
+        std::set<RequestId> waiting;
+        Time now { std::chrono::seconds(1) };
+        for (const auto& [action, value] : steps) {
+            now += Millis { value % 50 };
+            for (const RequestId expired : queue->expire(now))
+                RC_ASSERT(waiting.erase(expired) == 1);
+            if (action % 3) {
+                const RequestId id { waiting.empty() ? 1 : waiting.rbegin()->value() + 1 };
+                const Time deadline = now + Millis { 10 + value };
+                const ExpectedWork work { Millis { value % 20 }, Millis { value % 5 } };
+                queue->countArrival(value);
+                const auto admission = queue->enter(
+                    { id, value, now + Millis { value % 60 }, deadline, deadline - work.mean, WorkspaceId { value % 3U }, 1, work }, { now, limit, Millis { action % 9 } });
+                RC_ASSERT(!admission.displaced || waiting.erase(*admission.displaced) == 1);
+                if (admission.verdict == QueueVerdict::Waits)
+                    waiting.insert(id);
+            } else if (const auto next = queue->next(now)) {
+                queue->start(now);
+                RC_ASSERT(waiting.erase(*next) == 1);
+            }
+            RC_ASSERT(queue->size() == waiting.size());
+            RC_ASSERT(queue->size() <= limit);
+        }
+    });
+}
+
 TEST_CASE("Slot shares cover every slot exactly once and differ by at most one")
 {
     checkProperty("shares", [] {
--- a/tests/reducer_test.cpp
+++ b/tests/reducer_test.cpp
@@ -607,3 +607,26 @@
     for (const Refuse& refusal : driver.refusals)
         CHECK(refusal.error == error);
 }
+
+// Guards against callers that wait for nothing: while the slots are taken, a request that cannot be done in time is refused at once.
+TEST_CASE("A competing request that cannot be done before its deadline is refused on arrival with a retry time")
+{
+    const std::string second = "[[rule]]\nmethod = \"GET\"\npath = \"/u\"\nservice = \"s\"\nkind = \"idempotent\"\nkey = \"none\"\npriority = 0\n";
+    Driver driver(makeSheet(1, rule("idempotent") + second), Placement::ExpectedCost);
+    for (int i = 0; i < 20; ++i) {
+        driver.request();
+        driver.advance(Millis { 300 });
+        driver.finish(TryResult::Answered);
+    }
+    driver.request();
+    driver.request(Millis { 600 });
+    REQUIRE(driver.refusals.empty());
+    driver.request(Millis { 200 });
+    REQUIRE(driver.refusals.size() == 1);
+    const Refuse& refusal = driver.refusals.front();
+    CHECK(refusal.outcome == Outcome::NotRun);
+    REQUIRE(refusal.retryAfter);
+    CHECK(*refusal.retryAfter >= Millis { 20 });
+    CHECK(*refusal.retryAfter <= Millis { 200 } / 3);
+    CHECK(driver.sends.size() == 1);
+}
