--- a/include/cornelwind/counters.h
+++ b/include/cornelwind/counters.h
@@ -31,6 +31,12 @@
     std::uint64_t quotaRefusals = 0;
     /// Requests that waited for a token of the quota of their workspace.
     std::uint64_t quotaWaits = 0;
+    /// Waiting requests refused because others took their places in a full queue.
+    std::uint64_t displaced = 0;
+    /// Requests refused on arrival because they could not be done before their deadlines.
+    std::uint64_t refusedTooLate = 0;
+    /// Requests that waited and were sent although they were expected to miss their target latency.
+    std::uint64_t servedLate = 0;
 };
 
 } // namespace cornelwind
--- a/src/decision/request_flow.cpp
+++ b/src/decision/request_flow.cpp
@@ -35,6 +35,7 @@
         setBurst(*service);
     }
     std::erase_if(m_services, [](const auto& row) { return !row.second->index && row.second.use_count() == 1; });
+    adoptQueueOrders();
 }
 
 // The whole fleet shares the allowance. A part of it stays reserved for instances that restart.
@@ -233,6 +234,7 @@
     record.error = error;
     record.outcome = result.outcome;
     record.retryAfter = retryAfter;
+    record.reason = request.queueReason;
     context.emit(RecordRequest { std::move(record) });
     context.emit(Refuse { request.id, error, result.outcome, retryAfter, std::move(nextKey) });
     context.report(DecisionKind::Refused, request.service ? request.service->name.value() : std::string("unrouted"),
@@ -291,7 +293,7 @@
     if (request.phase == Phase::AwaitingQuota)
         m_dependencies.quotas.cancel(request.workspace->name, request.id, context);
     else
-        request.service->queue.remove(request.id);
+        request.service->queue->remove(request.id);
     completeRequest(request, { Outcome::NotRun, ErrorKind::DeadlinePassed, nullptr }, {}, context);
 }
 
@@ -319,10 +321,7 @@
         }
     }
     for (auto& [name, service] : m_services) {
-        for (const RequestId expired : service->queue.expire(context.now())) {
-            if (Request* request = find(expired))
-                completeRequest(*request, { Outcome::NotRun, ErrorKind::QueueTimeout, nullptr }, retryAfterOf(*request, RefusalCause::Full, context), context);
-        }
+        expireQueued(*service, context);
         dispatchQueue(*service, context);
     }
 }
--- a/src/shell/metrics.cpp
+++ b/src/shell/metrics.cpp
@@ -64,6 +64,9 @@
         families.counter("cornelwind_quota_tokens_total", "Tokens of workspace quotas granted by this instance, to itself and to others.", counters.quotaTokens);
         families.counter("cornelwind_quota_refusals_total", "Requests refused because the quota of their workspace was used up.", counters.quotaRefusals);
         families.counter("cornelwind_quota_waits_total", "Requests that waited for a token of the quota of their workspace.", counters.quotaWaits);
+        families.counter("cornelwind_displaced_total", "Waiting requests refused because others took their places in a full queue.", counters.displaced);
+        families.counter("cornelwind_refused_too_late_total", "Requests refused on arrival because they could not be done before their deadlines.", counters.refusedTooLate);
+        families.counter("cornelwind_served_late_total", "Requests that waited and were sent although expected to miss their target latency.", counters.servedLate);
     }
 
     void addIdleServers(MetricFamilies& families, const Status& status)
