--- a/src/decision/admission/workspace_turns.cpp
+++ b/src/decision/admission/workspace_turns.cpp
@@ -14,8 +14,13 @@
 {
     m_position = turnOf(workspace);
     m_ends[workspace] = m_position + 1 / weight;
-    if (m_ends.size() > 2 * waiting + SPARE_ROWS)
-        std::erase_if(m_ends, [this](const auto& row) { return row.second <= m_position; });
+    const std::size_t limit = 2 * waiting + SPARE_ROWS;
+    if (m_ends.size() <= limit)
+        return;
+    std::erase_if(m_ends, [this](const auto& row) { return row.second <= m_position; });
+    // Ever new workspaces take turns at the same position. Those that had one before may then have another one early.
+    if (m_ends.size() > limit)
+        m_ends.clear();
 }
 
 } // namespace cornelwind
--- a/src/decision/admission/workspace_turns.h
+++ b/src/decision/admission/workspace_turns.h
@@ -9,12 +9,14 @@
 
 /// Turns of the workspaces that wait in one queue, by start-time fair queueing (Goyal et al. 1996).
 ///
-/// A workspace that has not waited for a while is not due more for it. Memory: at most twice the number of workspaces that
-/// wait, and `SPARE_ROWS`.
+/// A workspace that has not waited for a while is not due more for it. Memory: at most twice the number of requests that
+/// wait, and `SPARE_ROWS` rows.
 class WorkspaceTurns {
 public:
     /// @return position of the next turn of the workspace; the smallest is first
     double turnOf(WorkspaceId workspace) const;
+    /// @return number of workspaces whose turns are kept
+    std::size_t size() const { return m_ends.size(); }
     /// Records that a request of the workspace starts.
     ///
     /// @param weight capacity that the workspace is due, relative to the others
--- a/src/decision/request_flow.h
+++ b/src/decision/request_flow.h
@@ -279,8 +279,10 @@
     bool isOutranked(const Request& request, Time now) const;
     /// Orders the queue by value or by arrival from now on; the requests that wait are kept.
     void setQueueOrder(Service& service, bool byValue);
-    /// Sets the orders of all queues by the sheet, and forgets the works of rules that it no longer has.
+    /// Sets the orders of all queues by the sheet.
     void adoptQueueOrders();
+    /// Forgets the works of rules that the sheet no longer has.
+    void forgetWorks();
     /// @return the target latency of the rule, or half its time limit if it has none
     static Millis targetLatencyOf(const Request& request);
     /// Chooses a server and sends the request to it.
--- a/src/decision/request_flow_queue.cpp
+++ b/src/decision/request_flow_queue.cpp
@@ -32,12 +32,23 @@
         }
     }
     m_meanQuota = limited ? quotas / static_cast<double>(limited) : 1;
-    std::unordered_set<std::string_view> rules;
-    for (const SheetRule& rule : m_sheet->rules)
-        rules.insert(rule.name);
     const std::vector<bool> competing = competingServices(*m_sheet);
-    for (auto& [name, service] : m_services) {
+    for (auto& [name, service] : m_services)
         setQueueOrder(*service, service->index && competing[*service->index]);
+    forgetWorks();
+}
+
+// The names of all rules are collected only if a service has learned something.
+void RequestFlow::forgetWorks()
+{
+    std::unordered_set<std::string_view> rules;
+    for (auto& [name, service] : m_services) {
+        if (service->works.empty())
+            continue;
+        if (rules.empty()) {
+            for (const SheetRule& rule : m_sheet->rules)
+                rules.insert(rule.name);
+        }
         std::erase_if(service->works, [&](const auto& row) { return !rules.contains(row.first); });
     }
 }
--- a/tests/admission_policy_test.cpp
+++ b/tests/admission_policy_test.cpp
@@ -1,6 +1,7 @@
 // Tests of the order of a service's queue: loads are played against servers with slots, without a network.
 #include "admission/competition.h"
 #include "admission/request_queue.h"
+#include "admission/workspace_turns.h"
 
 #include <catch2/catch.hpp>
 
@@ -390,12 +391,15 @@
     for (const Load& load : LOADS) {
         CAPTURE(load.name);
         double moreUrgent = 1;
+        std::printf("| %s |", load.name);
         for (const auto& [priority, share] : play(load, POLICIES.back()).priorities) {
             CAPTURE(priority, share.value(), moreUrgent);
             CHECK(share.value() <= moreUrgent);
             CHECK(share.value() >= leastShare);
             moreUrgent = share.value();
+            std::printf(" %.3f |", share.value());
         }
+        std::printf("\n");
     }
 }
 
@@ -458,6 +462,16 @@
     CHECK((admission.possibleAfter > Duration {}) == late);
 }
 
+// Guards against a table that grows with each workspace that ever waited.
+TEST_CASE("Turns of workspaces are kept for a bounded number of workspaces")
+{
+    WorkspaceTurns turns;
+    for (std::uint64_t workspace = 1; workspace <= 100'000; ++workspace) {
+        turns.start(WorkspaceId { workspace }, 1, 10);
+        REQUIRE(turns.size() <= 52);
+    }
+}
+
 // Guards against a change of services whose requests are all alike, and against competition that is overlooked.
 TEST_CASE("Requests compete where rules of a service differ or the sheet lists workspaces")
 {
