Count no time beyond the target latency for requests beyond the slots of a server

Cause: a request may go to a server that others have filled, one request for each usual response time that it has waited. A competing request may now wait until its deadline, some seconds, so that the fleet could overload its servers. Change: at a competing service, only time up to the target latency counts. No test shows it, since one instance never exceeds the slots by itself.

--- a/src/decision/request_flow_placement.cpp
+++ b/src/decision/request_flow_placement.cpp
@@ -119,7 +119,10 @@
     const Duration typical = request.service->latency.geometricMean();
     if (typical <= Duration {})
         return 1;
-    return static_cast<std::uint32_t>((now - request.admittedAt) / typical);
+    // A competing request may wait beyond its target latency, but does not overload servers the more for it.
+    const Duration waited = now - request.admittedAt;
+    const Duration counted = ordersByValue(request) ? std::min<Duration>(waited, targetLatencyOf(request)) : waited;
+    return static_cast<std::uint32_t>(counted / typical);
 }
 
 // The instance that a slot is reserved for may use it at the same time; the server then sheds one of the two requests. An
