Show workspace, refusals for API keys and the age of the confirmation to operators

Change: records of requests name the workspace; counters and metrics count requests refused for their key and for an unconfirmed sheet; status and metrics tell how many workspaces and keys the sheet lists, whether keys are accepted and how old the confirmation is.

--- a/include/cornelwind/counters.h
+++ b/include/cornelwind/counters.h
@@ -25,6 +25,10 @@
     std::uint64_t repeated = 0;
     /// Tries that a backend server shed without running the request.
     std::uint64_t sheds = 0;
+    /// Requests refused because they have no valid API key.
+    std::uint64_t apiKeysRejected = 0;
+    /// Requests refused because this instance cannot confirm its API keys.
+    std::uint64_t apiKeysUnconfirmed = 0;
 };
 
 } // namespace cornelwind
--- a/include/cornelwind/reducer.h
+++ b/include/cornelwind/reducer.h
@@ -78,6 +78,13 @@
     SheetVersion sheet;
     /// Time since the sheet came into force.
     Duration sheetAge {};
+    /// Workspaces and API keys that the sheet lists.
+    std::size_t workspaces = 0;
+    std::size_t apiKeys = 0;
+    /// Whether requests with API keys are accepted, as far as the age of the sheet is concerned.
+    bool apiKeysConfirmed = false;
+    /// Time since the moment up to which every sheet is known here; empty if there is none yet.
+    std::optional<Duration> confirmationAge;
     /// Time since the platform last answered.
     Duration platformAge {};
     /// Time since an entry instance of the availability zone last reached the platform, as far as is known here.
--- a/include/cornelwind/request_record.h
+++ b/include/cornelwind/request_record.h
@@ -45,6 +45,8 @@
     /// Rule of the sheet that the request matches, and whether that rule declares it idempotent.
     std::string rule;
     bool idempotent = false;
+    /// Workspace that the request belongs to; empty if there is none.
+    std::string workspace;
     /// Backend server concerned; empty if there is none.
     std::string server;
     /// Version of the sheet that the request is routed by.
--- a/src/decision/reducer_state.cpp
+++ b/src/decision/reducer_state.cpp
@@ -358,12 +358,18 @@
     status.zoneContactAge = m_gossip.contact().latestOfZone(now).age;
     status.requests = m_flow.size();
     status.keys = m_keys.size();
+    status.confirmationAge = m_gossip.confirmation().age(now);
     for (const auto& [name, member] : m_members.records())
         status.members.push_back({ name, member.zone, toString(member.state), member.listed, member.answersDirectly });
     if (!m_activeSheet.current())
         return status;
     status.sheet = m_activeSheet.current()->version;
     status.sheetAge = now - m_activeSheet.adoptedAt();
+    status.apiKeysConfirmed = keysConfirmed(now);
+    if (const WorkspaceDirectoryPtr& workspaces = m_activeSheet.current()->workspaces) {
+        status.workspaces = workspaces->all().size();
+        status.apiKeys = workspaces->keyCount();
+    }
     for (std::uint32_t i = 0; i < m_pool.serviceCount(); ++i) {
         for (const Server* server : m_pool.servers(i)) {
             const ServerAssessment assessment = m_health.assess(server->id);
--- a/src/decision/request_flow.cpp
+++ b/src/decision/request_flow.cpp
@@ -139,8 +139,11 @@
     if (verdict.error == ErrorKind::None)
         return std::nullopt;
     const Outcome outcome = event.key ? Outcome::Unknown : Outcome::NotRun;
-    if (verdict.error == ErrorKind::ApiKeyRejected)
+    if (verdict.error == ErrorKind::ApiKeyRejected) {
+        ++m_counters.apiKeysRejected;
         return Refusal { verdict.error, outcome, {} };
+    }
+    ++m_counters.apiKeysUnconfirmed;
     // Another entry instance is likely to know the latest sheet.
     const Duration remaining = event.remaining.value_or(request.rule->timeLimit);
     return Refusal { verdict.error, outcome, retryAfter({ RefusalCause::Unreachable, {}, {}, remaining }, context.random()) };
--- a/src/decision/request_flow_records.cpp
+++ b/src/decision/request_flow_records.cpp
@@ -14,8 +14,10 @@
         record.rule = request.rule->name;
         record.idempotent = request.rule->kind == RequestKind::Idempotent;
     }
-    if (request.sheet)
+    if (request.sheet) {
         record.sheet = request.sheet->version;
+        record.workspace = labelOf(request).name.value();
+    }
     record.tries = request.tryCount;
     if (request.admittedAt > Time {})
         record.age = now - request.admittedAt;
--- a/src/shell/metrics.cpp
+++ b/src/shell/metrics.cpp
@@ -61,6 +61,8 @@
         families.counter("cornelwind_joined_total", "Requests that waited for the result of an earlier request with the same idempotency key.", counters.joined);
         families.counter("cornelwind_repeated_total", "Requests answered with the stored response of their idempotency key.", counters.repeated);
         families.counter("cornelwind_sheds_total", "Tries that a backend server shed without running the request.", counters.sheds);
+        families.counter("cornelwind_api_keys_rejected_total", "Requests refused because they have no valid API key.", counters.apiKeysRejected);
+        families.counter("cornelwind_api_keys_unconfirmed_total", "Requests refused because this instance cannot confirm its API keys.", counters.apiKeysUnconfirmed);
     }
 
     void addIdleServers(MetricFamilies& families, const Status& status)
@@ -110,6 +112,11 @@
         families.gauge("cornelwind_zone_contact_age_seconds", "Time since an instance of the availability zone last reached the platform, in seconds.", seconds(status.zoneContactAge));
         families.gauge("cornelwind_requests_in_progress", "Requests currently in progress.", static_cast<double>(status.requests));
         families.gauge("cornelwind_keys_used", "Idempotency keys currently stored.", static_cast<double>(status.keys));
+        families.gauge("cornelwind_workspaces", "Workspaces that the routing configuration (sheet) lists.", static_cast<double>(status.workspaces));
+        families.gauge("cornelwind_api_keys", "API keys that the routing configuration (sheet) lists.", static_cast<double>(status.apiKeys));
+        families.gauge("cornelwind_api_keys_confirmed", "1 if requests with API keys are accepted, else 0.", status.apiKeysConfirmed);
+        if (status.confirmationAge)
+            families.gauge("cornelwind_confirmation_age_seconds", "Time since the moment up to which this instance knows every routing configuration (sheet), in seconds.", seconds(*status.confirmationAge));
         MetricFamily& scores = families.family("cornelwind_server_score", "Evidence that a backend server is unhealthy (log-likelihood ratio), in nats.", MetricType::Gauge);
         MetricFamily& states = families.family("cornelwind_server_standing", "1 for the current standing of a backend server.", MetricType::Gauge);
         for (const ServerStatus& server : status.servers) {
--- a/src/shell/request_log.cpp
+++ b/src/shell/request_log.cpp
@@ -85,6 +85,8 @@
     addQuoted(fields, "request", record.label);
     add(fields, "service", escapeForLog(record.service));
     add(fields, "rule", escapeForLog(record.rule));
+    if (!record.workspace.empty())
+        addQuoted(fields, "workspace", record.workspace);
     add(fields, "kind", std::string(record.idempotent ? "idempotent" : "at-most-once"));
     add(fields, "sheet", record.sheet.value());
     add(fields, "sends", record.tries);
--- a/tests/api_key_process_test.cpp
+++ b/tests/api_key_process_test.cpp
@@ -172,7 +172,10 @@
     }
     CHECK(scenario.heads().find("/safe/control") == std::string::npos);
     CHECK(scenario.heads().find("forged") == std::string::npos);
-    CHECK(scenario.output("i0").find("api-key-rejected") != std::string::npos);
+    CHECK(scenario.countLines("workspace=\"alder\"") > 0);
+    const std::string output = scenario.output("i0");
+    for (const char* part : { "error=api-key-rejected", "\"workspaces\":2,\"api_keys\":3,\"api_keys_confirmed\":true,\"confirmation_age_ms\":", "cornelwind_api_keys_confirmed 1", "cornelwind_api_keys_rejected_total 1", "cornelwind_confirmation_age_seconds" })
+        CHECK(output.find(part) != std::string::npos);
     for (const std::string& secret : { KEY, SECOND, OTHER, UNKNOWN, longest })
         scenario.checkNoOutputHas(secret);
 }
@@ -258,6 +261,7 @@
     scenario.fleet.controlPlatform("ok");
     for (const std::string& instance : scenario.instances)
         REQUIRE(waitFor([&] { return scenario.status("/safe/outage", keyHeader(KEY), instance) == 200; }));
-    CHECK(scenario.output("i0").find("api-keys-confirmed") != std::string::npos);
+    CHECK(scenario.countLines("event=api-keys-confirmed") == 2);
+    CHECK(scenario.output("i0").find("cornelwind_api_keys_unconfirmed_total 0") == std::string::npos);
     scenario.checkNoOutputHas(KEY);
 }
