--- a/src/decision/workspaces/quota_coordinator.cpp
+++ b/src/decision/workspaces/quota_coordinator.cpp
@@ -15,9 +15,11 @@
     // Part of the slack that one takeover may use. Several may follow each other within one window.
     constexpr double TAKEOVER_SLACK_PART = 0.25;
     // With this part of the other members reachable, a member that does not reply reaches too few to matter.
-    constexpr double MAJORITY = 0.85;
+    constexpr double MAJORITY = 0.8;
     // Nobody grants tokens while the members wait for the reply of a coordinator that is gone.
     constexpr Duration GAP = CoordinatorChoice::REPLY_TIMEOUT;
+    // A full bucket that nobody has asked for tokens in this time is forgotten.
+    constexpr Duration IDLE_LIFETIME = std::chrono::seconds(10);
     // Buckets are refilled this often, since their rate changes with the members.
     constexpr Duration REFILL_INTERVAL = std::chrono::milliseconds(100);
 
@@ -28,6 +30,7 @@
 QuotaCoordinator::Grant QuotaCoordinator::grant(const Workspace& workspace, const Ask& ask, Context& context)
 {
     Row& row = findOrCreate(workspace, context);
+    row.askedAt = context.now();
     row.held[ask.instance] = { ask.held, context.now() + HELD_TIME };
     refill(row, context.now());
     const double rate = limitsOf(row, context.now()).perSecond;
@@ -118,7 +121,9 @@
         } else
             updateLead(name, row, context);
     }
-    std::erase_if(m_rows, [&](const auto& entry) { return entry.second.held.empty() && entry.second.bucket.level() >= limitsOf(entry.second, now).capacity; });
+    std::erase_if(m_rows, [&](const auto& entry) {
+        return now - entry.second.askedAt >= IDLE_LIFETIME && entry.second.bucket.level() >= limitsOf(entry.second, now).capacity;
+    });
     return handovers;
 }
 
@@ -129,6 +134,11 @@
         row.settledAt = now;
 }
 
+bool QuotaCoordinator::isTakingOver(Time now) const
+{
+    return std::any_of(m_rows.begin(), m_rows.end(), [&](const auto& entry) { return !isSettled(entry.second, now); });
+}
+
 std::vector<InstanceName> QuotaCoordinator::predecessors(Time now) const
 {
     std::vector<InstanceName> names;
@@ -145,7 +155,7 @@
 void QuotaCoordinator::updateShare(Time now)
 {
     const double share = m_choice.liveShare() * m_reach.answeringPart();
-    if (share <= m_share)
+    if (share <= m_share && now - m_choice.startedAt() >= SETTLE_TIME)
         m_shareRisesAt = now + SETTLE_TIME;
     if (share <= m_share || now >= m_shareRisesAt)
         m_share = share;
@@ -186,7 +196,7 @@
 QuotaCoordinator::Row QuotaCoordinator::create(const Workspace& workspace, Context& context)
 {
     const Time now = context.now();
-    Row row { TokenBucket(0, now), *workspace.quota, workspaceIdOf(workspace.name).value(), false, {}, {}, {} };
+    Row row { TokenBucket(0, now), *workspace.quota, workspaceIdOf(workspace.name).value(), false, {}, {}, now, {} };
     const auto since = m_choice.precedesSince(row.subject);
     row.leads = since.has_value();
     row.leadsSince = since.value_or(now);
--- a/src/decision/workspaces/quota_coordinator.h
+++ b/src/decision/workspaces/quota_coordinator.h
@@ -88,6 +88,8 @@
 
     /// @return the members that precede this instance as coordinators of workspaces that it was asked for
     std::vector<InstanceName> predecessors(Time now) const;
+    /// @return whether an earlier coordinator of a workspace may be at work
+    bool isTakingOver(Time now) const;
     /// @return whether this instance reaches no other, though others are known
     bool isIsolated() const { return m_choice.isIsolated() || m_reach.isIsolated(); }
 
@@ -111,6 +113,7 @@
         Time leadsSince;
         /// When an earlier coordinator is no longer at work.
         Time settledAt;
+        Time askedAt;
         std::map<InstanceName, Held> held;
     };
 
--- a/src/decision/workspaces/reach_check.cpp
+++ b/src/decision/workspaces/reach_check.cpp
@@ -17,12 +17,13 @@
     m_wantedUntil = now + WANTED_TIME;
 }
 
-std::vector<InstanceName> ReachCheck::begin(Context& context)
+std::vector<InstanceName> ReachCheck::begin(bool wide, Context& context)
 {
     if (context.now() >= m_wantedUntil || !m_asked.empty() || context.now() - m_startedAt < INTERVAL)
         return {};
     std::vector<MemberRecord*> live = m_members.live();
-    while (!live.empty() && m_asked.size() < SAMPLE) {
+    const std::size_t sample = wide || answeringPart() < 1 ? WIDE_SAMPLE : SAMPLE;
+    while (!live.empty() && m_asked.size() < sample) {
         std::swap(live[context.random() % live.size()], live.back());
         m_asked.push_back(live.back()->name);
         live.pop_back();
--- a/src/decision/workspaces/reach_check.h
+++ b/src/decision/workspaces/reach_check.h
@@ -16,7 +16,9 @@
     static constexpr Duration INTERVAL = std::chrono::milliseconds(300);
     /// Members that do not answer within this time are not reached.
     static constexpr Duration TIMEOUT = std::chrono::milliseconds(150);
-    static constexpr std::size_t SAMPLE = 6;
+    /// Members asked in a check, normally and after a member did not answer.
+    static constexpr std::size_t SAMPLE = 3;
+    static constexpr std::size_t WIDE_SAMPLE = 8;
     /// Checks from which the part is estimated.
     static constexpr std::size_t CHECKS = 3;
 
@@ -27,8 +29,9 @@
 
     /// Keeps checking for a while.
     void request(Time now);
+    /// @param wide whether there are signs that members do not answer
     /// @return the members to send a message now that they answer
-    std::vector<InstanceName> begin(Context& context);
+    std::vector<InstanceName> begin(bool wide, Context& context);
     /// Ends a check whose time is over.
     void finish(Time now);
     /// Forgets earlier checks.
--- a/src/decision/workspaces/workspace_quotas.cpp
+++ b/src/decision/workspaces/workspace_quotas.cpp
@@ -281,10 +281,11 @@
 // A member that is passed over may be an earlier coordinator, so it matters when it replies again.
 void WorkspaceQuotas::checkReach(Context& context)
 {
-    std::vector<InstanceName> asked = m_reach.begin(context);
+    const std::vector<InstanceName> silent = m_choice.silentMembers();
+    std::vector<InstanceName> asked = m_reach.begin(!silent.empty() || m_coordinator.isTakingOver(context.now()), context);
     if (asked.empty())
         return;
-    for (auto& names : { m_choice.silentMembers(), m_coordinator.predecessors(context.now()) })
+    for (const auto& names : { silent, m_coordinator.predecessors(context.now()) })
         asked.insert(asked.end(), names.begin(), names.end());
     PeerOutbox outbox = makeOutbox();
     for (const InstanceName& name : asked) {
--- a/tests/workspace_quota_test.cpp
+++ b/tests/workspace_quota_test.cpp
@@ -44,6 +44,7 @@
     INFO(row.day.name << ", seed " << seed << ": requests " << report.requests << ", served " << report.served << ", refused " << report.refused
                       << ", wrongly " << report.wronglyRefused << ", others " << report.others << ", highest use " << report.highestUse);
     CHECK(report.overBound <= 0);
+    CHECK(report.logLines <= 20 * row.day.instances);
     CHECK(report.served + report.refused + report.others > 0);
     CHECK(static_cast<double>(report.wronglyRefused) <= row.maxWronglyRefused * static_cast<double>(report.requests));
     return report;
