--- a/src/decision/coordinator_choice.cpp
+++ b/src/decision/coordinator_choice.cpp
@@ -1,6 +1,7 @@
 #include "coordinator_choice.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace cornelwind {
 namespace {
@@ -110,6 +111,28 @@
     return since;
 }
 
+std::vector<InstanceName> CoordinatorChoice::gonePredecessors(std::uint64_t subject, std::size_t limit) const
+{
+    const std::uint64_t own = hashOf(subject, m_members.self());
+    std::vector<std::pair<std::uint64_t, InstanceName>> gone;
+    for (const auto& [name, at] : m_goneSince) {
+        const std::uint64_t hash = hashOf(subject, name);
+        if (hash > own)
+            gone.emplace_back(hash, name);
+    }
+    std::sort(gone.rbegin(), gone.rend(), [](const auto& a, const auto& b) { return a.first < b.first; });
+    std::vector<InstanceName> names;
+    for (std::size_t i = 0; i < std::min(limit, gone.size()); ++i)
+        names.push_back(gone[i].second);
+    return names;
+}
+
+bool CoordinatorChoice::isLive(const InstanceName& instance) const
+{
+    const MemberRecord* member = m_members.find(instance);
+    return member && (member->state == MemberState::Alive || member->state == MemberState::Suspect);
+}
+
 std::vector<InstanceName> CoordinatorChoice::silentMembers() const
 {
     std::vector<InstanceName> names;
--- a/src/decision/coordinator_choice.h
+++ b/src/decision/coordinator_choice.h
@@ -35,6 +35,8 @@
     /// @return the coordinator, among this entry instance and the members that reply. This instance is left out while it is
     ///     leaving, unless it is the only one.
     InstanceName coordinatorOf(std::uint64_t subject, Time now) const;
+    /// @return whether an entry instance is a live member
+    bool isLive(const InstanceName& instance) const;
     bool isSelf(const InstanceName& instance) const { return instance == m_members.self(); }
 
     /// Notes that a message was sent to a member that it has to answer.
@@ -58,6 +60,8 @@
     std::uint64_t version() const { return 3 * m_membersFingerprint + m_aliveFingerprint + 2 * m_passedOver + m_gossip.leaving(); }
     /// @return since when no member that is alive and replies precedes this entry instance as coordinator; empty if one does
     std::optional<Time> precedesSince(std::uint64_t subject) const;
+    /// @return the known members that precede this entry instance and are not live; at most `limit`, the highest first
+    std::vector<InstanceName> gonePredecessors(std::uint64_t subject, std::size_t limit) const;
     /// @return when this entry instance started, or went on after it stood still
     Time startedAt() const { return m_startedAt.value_or(Time {}); }
     /// @return the members that are passed over
--- a/src/decision/workspaces/quota_coordinator.cpp
+++ b/src/decision/workspaces/quota_coordinator.cpp
@@ -20,6 +20,8 @@
     constexpr Duration GAP = CoordinatorChoice::REPLY_TIMEOUT;
     // A full bucket that nobody has asked for tokens in this time is forgotten.
     constexpr Duration IDLE_LIFETIME = std::chrono::seconds(10);
+    // Earlier coordinators of each workspace that are asked whether they answer again.
+    constexpr std::size_t MAX_GONE_ASKED = 2;
     // Buckets are refilled this often, since their rate changes with the members.
     constexpr Duration REFILL_INTERVAL = std::chrono::milliseconds(100);
 
@@ -145,6 +147,8 @@
     for (const auto& [name, row] : m_rows) {
         if (!row.leads)
             names.push_back(m_choice.coordinatorOf(row.subject, now));
+        for (const InstanceName& gone : m_choice.gonePredecessors(row.subject, MAX_GONE_ASKED))
+            names.push_back(gone);
     }
     std::sort(names.begin(), names.end());
     names.erase(std::unique(names.begin(), names.end()), names.end());
--- a/src/decision/workspaces/quota_coordinator.h
+++ b/src/decision/workspaces/quota_coordinator.h
@@ -86,7 +86,7 @@
     /// Takes over a bucket from the instance that led before.
     void onHandover(const Workspace& workspace, double level, const InstanceName& from, Context& context);
 
-    /// @return the members that precede this instance as coordinators of workspaces that it was asked for
+    /// @return the members that precede this instance as coordinators of workspaces that it was asked for, also if they are gone
     std::vector<InstanceName> predecessors(Time now) const;
     /// @return whether an earlier coordinator of a workspace may be at work
     bool isTakingOver(Time now) const;
--- a/src/decision/workspaces/reach_check.cpp
+++ b/src/decision/workspaces/reach_check.cpp
@@ -10,6 +10,9 @@
     // Older results say nothing of the present.
     constexpr Duration RESULT_LIFETIME = std::chrono::seconds(2);
 
+    // Members that are asked in vain by chance, since half of the fleet is not reachable, are hardly ever this many.
+    constexpr std::size_t CONCLUSIVE = 8;
+
 } // namespace
 
 void ReachCheck::request(Time now)
@@ -28,6 +31,7 @@
         m_asked.push_back(live.back()->name);
         live.pop_back();
     }
+    m_askedAll = live.empty();
     m_startedAt = context.now();
     return m_asked;
 }
@@ -43,7 +47,7 @@
         const MemberRecord* member = m_members.find(name);
         return member && member->lastHeard > m_startedAt;
     });
-    m_results.push_back({ m_startedAt, asked.size(), static_cast<std::size_t>(answered) });
+    m_results.push_back({ m_startedAt, asked.size(), static_cast<std::size_t>(answered), m_askedAll || asked.size() >= CONCLUSIVE });
     if (m_results.size() > CHECKS)
         m_results.pop_front();
 }
--- a/src/decision/workspaces/reach_check.h
+++ b/src/decision/workspaces/reach_check.h
@@ -18,7 +18,7 @@
     static constexpr Duration TIMEOUT = std::chrono::milliseconds(150);
     /// Members asked in a check, normally and after a member did not answer.
     static constexpr std::size_t SAMPLE = 3;
-    static constexpr std::size_t WIDE_SAMPLE = 8;
+    static constexpr std::size_t WIDE_SAMPLE = 16;
     /// Checks from which the part is estimated.
     static constexpr std::size_t CHECKS = 3;
 
@@ -39,22 +39,23 @@
 
     /// @return part of the live members that answered lately; 1 while unknown
     double answeringPart() const;
-    /// @return whether several members were asked in the last check, and none of them answered
-    bool isIsolated() const { return !m_results.empty() && m_results.back().asked >= MIN_ASKED && !m_results.back().answered; }
+    /// @return whether all live members or many of them were asked in the last check, and none of them answered
+    bool isIsolated() const { return !m_results.empty() && m_results.back().conclusive && !m_results.back().answered; }
     /// @return when the last check began; the zero time if there was none
     Time lastCheck() const { return m_results.empty() ? Time {} : m_results.back().startedAt; }
 
 private:
-    static constexpr std::size_t MIN_ASKED = 2;
-
     struct Result {
         Time startedAt;
         std::size_t asked = 0;
         std::size_t answered = 0;
+        /// Whether a check without answers shows that this instance reaches nobody.
+        bool conclusive = false;
     };
 
     MemberTable& m_members;
     std::vector<InstanceName> m_asked;
+    bool m_askedAll = false;
     Time m_startedAt;
     Time m_wantedUntil;
     std::deque<Result> m_results;
--- a/src/decision/workspaces/workspace_quotas.cpp
+++ b/src/decision/workspaces/workspace_quotas.cpp
@@ -292,7 +292,8 @@
         if (m_choice.isSelf(name))
             continue;
         outbox.messageTo(name).mutable_quota_request();
-        m_choice.expectReply(name, context.now());
+        if (m_choice.isLive(name))
+            m_choice.expectReply(name, context.now());
     }
     outbox.send(context);
 }
