--- a/tests/support/quota_fleet.cpp
+++ b/tests/support/quota_fleet.cpp
@@ -5,11 +5,7 @@
 
 #include <algorithm>
 #include <cmath>
-#include <cstdio>
-#include <cstdlib>
-#include <map>
 #include <random>
-#include <set>
 #include <utility>
 
 namespace cornelwind::test {
@@ -238,10 +234,8 @@
 
         void handle(std::size_t instance, const SetReady& effect) { m_ready[instance] = effect.ready; }
 
-        void handle(std::size_t instance, const ReportDecision& effect)
+        void handle(std::size_t, const ReportDecision& effect)
         {
-            if (std::getenv("CORNELWIND_TIMELINE") && effect.decision.kind >= DecisionKind::QuotaTakenOver)
-                std::printf("%.2f i%zu %s %s\n", secondsNow(), instance, toString(effect.decision.kind), effect.decision.evidence.c_str());
             const DecisionKind kind = effect.decision.kind;
             m_report.takeovers += kind == DecisionKind::QuotaTakenOver;
             m_report.logLines += kind == DecisionKind::QuotaTakenOver || kind == DecisionKind::QuotaUsedUp || kind == DecisionKind::QuotaAvailable;
@@ -301,14 +295,6 @@
                 delays.push_back(1000 * (*request.sentAt - request.at));
             }
             std::sort(sends.begin(), sends.end());
-            if (std::getenv("CORNELWIND_TIMELINE")) {
-                std::map<int, int> counts;
-                for (const double at : sends)
-                    ++counts[static_cast<int>(at * 4)];
-                for (const auto& [quarter, count] : counts)
-                    std::printf("%.2f:%d ", quarter / 4.0, count);
-                std::printf("\n");
-            }
             std::sort(delays.begin(), delays.end());
             m_report.requests = m_requests.size();
             m_report.delay99 = delays.empty() ? 0 : delays[delays.size() * 99 / 100];
