--- a/src/decision/workspaces/reach_check.cpp
+++ b/src/decision/workspaces/reach_check.cpp
@@ -10,6 +10,9 @@
     // Older results say nothing of the present.
     constexpr Duration RESULT_LIFETIME = std::chrono::seconds(2);
 
+    // Members that are asked in vain by chance, since half of the fleet is not reachable, are hardly ever this many.
+    constexpr std::size_t CONCLUSIVE = 8;
+
 } // namespace
 
 void ReachCheck::request(Time now)
@@ -17,16 +20,18 @@
     m_wantedUntil = now + WANTED_TIME;
 }
 
-std::vector<InstanceName> ReachCheck::begin(Context& context)
+std::vector<InstanceName> ReachCheck::begin(bool wide, Context& context)
 {
     if (context.now() >= m_wantedUntil || !m_asked.empty() || context.now() - m_startedAt < INTERVAL)
         return {};
     std::vector<MemberRecord*> live = m_members.live();
-    while (!live.empty() && m_asked.size() < SAMPLE) {
+    const std::size_t sample = wide || answeringPart() < 1 ? WIDE_SAMPLE : SAMPLE;
+    while (!live.empty() && m_asked.size() < sample) {
         std::swap(live[context.random() % live.size()], live.back());
         m_asked.push_back(live.back()->name);
         live.pop_back();
     }
+    m_askedAll = live.empty();
     m_startedAt = context.now();
     return m_asked;
 }
@@ -42,7 +47,7 @@
         const MemberRecord* member = m_members.find(name);
         return member && member->lastHeard > m_startedAt;
     });
-    m_results.push_back({ m_startedAt, asked.size(), static_cast<std::size_t>(answered) });
+    m_results.push_back({ m_startedAt, asked.size(), static_cast<std::size_t>(answered), m_askedAll || asked.size() >= CONCLUSIVE });
     if (m_results.size() > CHECKS)
         m_results.pop_front();
 }
--- a/src/decision/workspaces/reach_check.h
+++ b/src/decision/workspaces/reach_check.h
@@ -16,7 +16,9 @@
     static constexpr Duration INTERVAL = std::chrono::milliseconds(300);
     /// Members that do not answer within this time are not reached.
     static constexpr Duration TIMEOUT = std::chrono::milliseconds(150);
-    static constexpr std::size_t SAMPLE = 6;
+    /// Members asked in a check, normally and after a member did not answer.
+    static constexpr std::size_t SAMPLE = 3;
+    static constexpr std::size_t WIDE_SAMPLE = 16;
     /// Checks from which the part is estimated.
     static constexpr std::size_t CHECKS = 3;
 
@@ -27,8 +29,9 @@
 
     /// Keeps checking for a while.
     void request(Time now);
+    /// @param wide whether there are signs that members do not answer
     /// @return the members to send a message now that they answer
-    std::vector<InstanceName> begin(Context& context);
+    std::vector<InstanceName> begin(bool wide, Context& context);
     /// Ends a check whose time is over.
     void finish(Time now);
     /// Forgets earlier checks.
@@ -36,22 +39,23 @@
 
     /// @return part of the live members that answered lately; 1 while unknown
     double answeringPart() const;
-    /// @return whether several members were asked in the last check, and none of them answered
-    bool isIsolated() const { return !m_results.empty() && m_results.back().asked >= MIN_ASKED && !m_results.back().answered; }
+    /// @return whether all live members or many of them were asked in the last check, and none of them answered
+    bool isIsolated() const { return !m_results.empty() && m_results.back().conclusive && !m_results.back().answered; }
     /// @return when the last check began; the zero time if there was none
     Time lastCheck() const { return m_results.empty() ? Time {} : m_results.back().startedAt; }
 
 private:
-    static constexpr std::size_t MIN_ASKED = 2;
-
     struct Result {
         Time startedAt;
         std::size_t asked = 0;
         std::size_t answered = 0;
+        /// Whether a check without answers shows that this instance reaches nobody.
+        bool conclusive = false;
     };
 
     MemberTable& m_members;
     std::vector<InstanceName> m_asked;
+    bool m_askedAll = false;
     Time m_startedAt;
     Time m_wantedUntil;
     std::deque<Result> m_results;
