--- a/benchmark/capacity.cpp
+++ b/benchmark/capacity.cpp
@@ -1,11 +1,12 @@
 // Measures how memory and processing time grow with the number of services, backend servers, rules, keys and peers, at four
-// sizes each. Uses only the public headers and the messages between entry instances.
+// sizes each. Uses only the public headers, the messages between entry instances and the reader of the platform's configuration.
 #include "cornelwind/detector.h"
 #include "cornelwind/idempotency_store.h"
 #include "cornelwind/reducer.h"
 #include "cornelwind/router.h"
 #include "cornelwind/sheet.h"
 #include "peer.pb.h"
+#include "platform/values.h"
 
 #include <malloc.h>
 
@@ -107,6 +108,63 @@
     return list;
 }
 
+/// @return an API key of 32 bytes; a configuration of 1 MB holds about 30,000 of them
+std::string apiKey(std::size_t number)
+{
+    char text[33];
+    std::snprintf(text, sizeof text, "key-%028zu", number);
+    return text;
+}
+
+std::shared_ptr<WorkspaceDirectory> makeWorkspaces(std::size_t count, std::size_t keysEach)
+{
+    WorkspaceDirectory::Builder builder;
+    for (std::size_t i = 0; i < count; ++i) {
+        builder.addWorkspace({ WorkspaceName { "workspace-" + std::to_string(i) }, 1, WorkspaceQuota { 10, 20 } });
+        for (std::size_t k = 0; k < keysEach; ++k)
+            builder.addKey(apiKey(i * keysEach + k));
+    }
+    return std::make_shared<WorkspaceDirectory>(builder.build());
+}
+
+std::string workspacesJson(std::size_t count, std::size_t keysEach)
+{
+    std::string text = R"({"version":"1","services":{"s":{}},"routes":{"r":{"host":"a","prefix":"/","kind":"safe","service":"s"}},"tenants":{)";
+    for (std::size_t i = 0; i < count; ++i) {
+        text += std::string(i ? "," : "") + "\"workspace-" + std::to_string(i) + R"(":{"ratePerS":10,"burst":20,"apiKeys":[)";
+        for (std::size_t k = 0; k < keysEach; ++k)
+            text += std::string(k ? "," : "") + "\"" + apiKey(i * keysEach + k) + "\"";
+        text += "]}";
+    }
+    return text + "}}";
+}
+
+double microsSince(Clock::time_point start)
+{
+    return std::chrono::duration<double, std::micro>(Clock::now() - start).count();
+}
+
+void printApiKeys()
+{
+    constexpr std::size_t workspaces = 86;
+    constexpr std::size_t keys = 30000;
+    const auto directory = makeWorkspaces(workspaces, keys / workspaces);
+    std::size_t found = 0;
+    const auto start = Clock::now();
+    for (std::size_t i = 0; i < 2 * keys; ++i)
+        found += directory->findByKey(apiKey(i)) != nullptr;
+    const double lookup = microsSince(start) / (2 * keys);
+    std::printf("API key look-up        %.2f us each, %zu of %zu found\n", lookup, found, 2 * keys);
+    const std::string text = workspacesJson(workspaces, keys / workspaces);
+    const double before = heapBytes();
+    const auto readStart = Clock::now();
+    Reasons reasons;
+    const auto sheet = platform::readConfiguration(text, 10, reasons);
+    const double read = microsSince(readStart);
+    std::printf("configuration          %.0f KB with %zu keys: read in %.1f ms, %.0f KB in memory, of which %.0f KB text for members\n",
+        static_cast<double>(text.size()) / 1024, sheet->workspaces->keyCount(), read / 1000, (heapBytes() - before) / 1024, static_cast<double>(sheet->text.size()) / 1024);
+}
+
 void printMessageSizes()
 {
     peer::Envelope digest = *makePeerMessage(1);
@@ -192,6 +250,9 @@
         reducer->apply({ Time { std::chrono::seconds(2) }, 1, SheetFetched { sheetText(2, size / 50, 50, 1) } }, effects);
         return reducer;
     });
+    printSlope("API key, 86 workspaces", { 3698, 7482, 14964, 29928 }, [](std::size_t size) { return makeWorkspaces(86, size / 86); });
+    printSlope("workspace with a key", { 10000, 20000, 40000, 80000 }, [](std::size_t size) { return makeWorkspaces(size, 1); });
+    printApiKeys();
     printMessageSizes();
     for (const std::size_t servers : { 50, 500, 2000, 5000 })
         printTick(servers);
--- a/tests/api_key_process_test.cpp
+++ b/tests/api_key_process_test.cpp
@@ -7,6 +7,7 @@
 #include <chrono>
 #include <csignal>
 #include <fstream>
+#include <map>
 #include <sstream>
 #include <string>
 #include <thread>
@@ -241,6 +242,43 @@
         scenario.checkNoOutputHas(secret);
 }
 
+// Guards against a key in the messages between instances: in the sheet, and in requests that go to the owner of their idempotency key.
+TEST_CASE("Instances send each other the sheet and requests without API keys")
+{
+    Fleet fleet;
+    fleet.addServer({ "s0", "orders" });
+    fleet.addInstance("a");
+    fleet.addInstance("b");
+    fleet.disconnectFromPlatform("a");
+    const std::string relays[] = { fleet.addPeerRelay("a", "b"), fleet.addPeerRelay("b", "a") };
+    fleet.addSeed("a", fleet.peerAddress("b"));
+    fleet.publishSheet(fleet.sheet(1) + "[[workspace]]\nname = \"alder\"\nkeys = [\"" + KEY + "\"]\n");
+    fleet.publishInstances();
+    fleet.startAll();
+    for (const char* name : { "a", "b" })
+        REQUIRE(fleet.waitForReady(name));
+    const std::string idempotencyKey = fleet.fetchIdempotencyKey("a");
+    std::map<std::string, std::string> headers { { "Idempotency-Key", idempotencyKey }, { "Cornelwind-Api-Key", UNKNOWN }, { "Cornelwind-Workspace", "forged" } };
+    CHECK(call(fleet.callerAddress("b"), "POST", "/orders", headers, "order-1")->status() == 401);
+    headers["Cornelwind-Api-Key"] = KEY;
+    const auto response = call(fleet.callerAddress("b"), "POST", "/orders", headers, "order-1");
+    REQUIRE(response);
+    CHECK(response->status() == 200);
+    CHECK(call(fleet.callerAddress("a"), "GET", "/orders", { { "Cornelwind-Api-Key", KEY } })->status() == 200);
+    const std::string heads = call(fleet.serverAddress("s0"), "GET", "/standin/heads")->body;
+    CHECK(heads.find("POST /orders ") != std::string::npos);
+    CHECK(heads.find("Cornelwind-Workspace: alder") != std::string::npos);
+    CHECK(heads.find(KEY) == std::string::npos);
+    CHECK(heads.find("forged") == std::string::npos);
+    std::string messages;
+    for (const std::string& relay : relays)
+        messages += call(relay, "GET", "/record")->body;
+    CHECK(messages.find("order-1") != std::string::npos);
+    CHECK(messages.find("sha256:") != std::string::npos);
+    CHECK(messages.find(KEY) == std::string::npos);
+    CHECK(messages.find(UNKNOWN) == std::string::npos);
+}
+
 // Guards against an instance that goes on with keys that nobody confirms.
 TEST_CASE("Instances that lose the store stop to accept keys, and serve again with its first answer")
 {
--- a/tests/standin/relay.cpp
+++ b/tests/standin/relay.cpp
@@ -6,6 +6,7 @@
 #include <chrono>
 #include <cstdlib>
 #include <memory>
+#include <mutex>
 #include <thread>
 
 namespace cornelwind::test {
@@ -21,6 +22,35 @@
         std::atomic<int> backward = 0;
     };
 
+    constexpr std::size_t MAX_RECORDED = 4 * 1024 * 1024;
+
+    /// The first bytes that were forwarded, in either direction.
+    class Record {
+    public:
+        void add(const std::string& bytes)
+        {
+            const std::lock_guard lock(m_mutex);
+            if (m_bytes.size() < MAX_RECORDED)
+                m_bytes += bytes;
+        }
+
+        std::string bytes()
+        {
+            const std::lock_guard lock(m_mutex);
+            return m_bytes;
+        }
+
+    private:
+        std::mutex m_mutex;
+        std::string m_bytes;
+    };
+
+    Record& record()
+    {
+        static Record record;
+        return record;
+    }
+
     int parseMode(const std::string& text)
     {
         if (text == "cut")
@@ -50,7 +80,9 @@
                 continue;
             if (currentMode > 0)
                 std::this_thread::sleep_for(std::chrono::milliseconds(currentMode));
-            if (!writeAll(*to, std::string(buffer, static_cast<std::size_t>(count))))
+            const std::string bytes(buffer, static_cast<std::size_t>(count));
+            record().add(bytes);
+            if (!writeAll(*to, bytes))
                 break;
         }
         from->shutdown();
@@ -61,6 +93,10 @@
     {
         std::string buffered;
         while (const auto request = readMessage(socket, buffered)) {
+            if (request->method() == "GET") {
+                writeAll(socket, makeResponse(200, record().bytes()));
+                continue;
+            }
             const auto pairs = parseKeyValuePairs(request->body);
             if (pairs.contains("forward"))
                 modes.forward = parseMode(pairs.at("forward"));
