--- a/fuzz/store_fuzz.cpp
+++ b/fuzz/store_fuzz.cpp
@@ -23,6 +23,8 @@
 const std::string ENTRY = R"({"service":"s","address":"10.0.0.1:80","zone":"z","slots":4,"state":"ready","warmupLeftS":1e300,"born":1790000000000})";
 const std::string CONFIGURATION = R"({"version":"0000000c","services":{"s":{"maxConnections":1e10}},"limits":{"maxBodyBytes":-1,"idleTimeoutS":1e300},)"
                                   R"("routes":{"r":{"host":"h","prefix":"/p/","kind":"safe","timeoutS":2,"attempts":2,"priority":1e400,"trafficSplit":[{"service":"s","weight":90}]}}})";
+const std::string WORKSPACES = R"({"version":"0000000c","services":{"s":{}},"routes":{"r":{"host":"h","prefix":"/p/","kind":"safe","public":true,"service":"s"}},)"
+                               R"("tenants":{"a":{"apiKeys":["key-1","key-2"],"priority":2,"ratePerS":2.5,"burst":10},"b":{"apiKeys":["\u006bey-3"]},"c":{"ratePerS":1e9}}})";
 
 } // namespace
 
@@ -59,10 +61,21 @@
 
 TEST_CASE("Configurations are read or refused with a reason")
 {
-    Mutator configurations({ CONFIGURATION });
+    Mutator configurations({ CONFIGURATION, WORKSPACES });
+    int rewritten = 0;
     for (int i = 0; i < ITERATIONS; ++i) {
         Reasons reasons;
-        const bool isRead = readConfiguration(configurations.next(), 20, reasons).has_value();
-        REQUIRE(isRead == reasons.empty());
+        const auto sheet = readConfiguration(configurations.next(), 20, reasons);
+        REQUIRE(sheet.has_value() == reasons.empty());
+        if (!sheet || sheet->text.empty())
+            continue;
+        // The text for members gives the same workspaces, and is final.
+        const auto copy = readConfiguration(sheet->text, 20, reasons);
+        REQUIRE(copy);
+        REQUIRE(copy->text.empty());
+        REQUIRE(copy->workspaces->all() == sheet->workspaces->all());
+        REQUIRE(copy->workspaces->keyCount() == sheet->workspaces->keyCount());
+        ++rewritten;
     }
+    CHECK(rewritten > 0);
 }
