--- a/src/decision/coordinator_choice.cpp
+++ b/src/decision/coordinator_choice.cpp
@@ -81,6 +81,11 @@
     return silent;
 }
 
+void CoordinatorChoice::endSilence(const InstanceName& member)
+{
+    m_passedOver += m_silentUntil.erase(member);
+}
+
 double CoordinatorChoice::reachableShare() const
 {
     const auto& records = m_members.records();
--- a/src/decision/coordinator_choice.h
+++ b/src/decision/coordinator_choice.h
@@ -42,6 +42,8 @@
     /// Notes that a message was sent to a member that it has to answer.
     void expectReply(const InstanceName& member, Time now) { m_awaitedSince.emplace(member, now); }
     void onReply(const InstanceName& member) { m_awaitedSince.erase(member); }
+    /// Ends the time for which a member is passed over, because it replied in time.
+    void endSilence(const InstanceName& member);
     /// @return the members that are passed over from now on, because they did not reply in time
     std::vector<InstanceName> passOverSilent(Time now);
 
--- a/src/decision/workspaces/reach_check.h
+++ b/src/decision/workspaces/reach_check.h
@@ -41,7 +41,9 @@
     double answeringPart() const;
     /// @return whether all live members or many of them were asked in the last check, and none of them answered
     bool isIsolated() const { return !m_results.empty() && m_results.back().conclusive && !m_results.back().answered; }
-    /// @return when the last check began; the zero time if there was none
+    /// @return when the last check began, which may not have ended
+    Time lastBegun() const { return m_startedAt; }
+    /// @return when the last check began that has ended; the zero time if there was none
     Time lastCheck() const { return m_results.empty() ? Time {} : m_results.back().startedAt; }
 
 private:
--- a/src/decision/workspaces/workspace_quotas.cpp
+++ b/src/decision/workspaces/workspace_quotas.cpp
@@ -214,6 +214,8 @@
 {
     observeTime(context);
     m_choice.onReply(sender.name);
+    if (reply.sequence() == m_checkSequence && context.now() - m_reach.lastBegun() < CoordinatorChoice::REPLY_TIMEOUT)
+        m_choice.endSilence(sender.name);
     PeerOutbox outbox = makeOutbox();
     for (const peer::QuotaGrant& row : reply.rows()) {
         const WorkspaceName name { row.workspace() };
@@ -287,11 +289,12 @@
         return;
     for (const auto& names : { silent, m_coordinator.predecessors(context.now()) })
         asked.insert(asked.end(), names.begin(), names.end());
+    m_checkSequence = ++m_sequence;
     PeerOutbox outbox = makeOutbox();
     for (const InstanceName& name : asked) {
         if (m_choice.isSelf(name))
             continue;
-        outbox.messageTo(name).mutable_quota_request();
+        outbox.messageTo(name).mutable_quota_request()->set_sequence(m_checkSequence);
         if (m_choice.isLive(name))
             m_choice.expectReply(name, context.now());
     }
--- a/src/decision/workspaces/workspace_quotas.h
+++ b/src/decision/workspaces/workspace_quotas.h
@@ -112,6 +112,8 @@
     /// Tokens to return with the next tick, by coordinator and workspace.
     std::map<InstanceName, std::map<WorkspaceName, std::uint32_t>> m_returns;
     std::uint64_t m_sequence = 0;
+    /// Sequence of the messages of the last check of `m_reach`.
+    std::uint64_t m_checkSequence = 0;
     Time m_lastEvent;
 };
 
--- a/tests/support/quota_fleet.h
+++ b/tests/support/quota_fleet.h
@@ -40,7 +40,11 @@
 };
 
 /// Which entry instance gets a request: all get the same number, the first gets all, or one that changes each second gets all.
-enum class QuotaSpread : std::uint8_t { Even, One, Moving };
+enum class QuotaSpread : std::uint8_t {
+    Even,
+    One,
+    Moving,
+};
 
 struct QuotaDay {
     const char* name;
