--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -303,7 +303,7 @@
 TEST_CASE("Platform limits are applied by name, and an invalid value is reported")
 {
     Settings settings;
-    settings.platformLimits = { "graceS=6", "drainS=2", "configS=2.5", "retryBudgetRatio=0.2", "budgetSlack=58", "memoryMb=624.5", "unknown=x" };
+    settings.platformLimits = { "graceS=6", "drainS=2", "configS=2.5", "retryBudgetRatio=0.2", "budgetSlack=58", "memoryMb=624.5", "unknown=x", "quotaWindowS=4", "quotaOver=0.5", "quotaSlack=7" };
     Reasons reasons;
     CHECK(platform::applyLimits(settings, reasons));
     CHECK(settings.shutdownTimeout == Millis { 5600 });
@@ -311,6 +311,9 @@
     CHECK(settings.fleetRetryAllowance == 58);
     CHECK(settings.changeDeadline == Millis { 2000 });
     CHECK(settings.memory == ByteCount { 624'500'000 });
+    CHECK(settings.quotaWindow == Millis { 4000 });
+    CHECK(settings.quotaOver == 0.5);
+    CHECK(settings.quotaSlack == 7);
     settings.platformLimits = { "graceS=soon" };
     CHECK_FALSE(platform::applyLimits(settings, reasons));
     CHECK(reasons.front().detail == "graceS=soon");
--- a/tests/workspace_quota_test.cpp
+++ b/tests/workspace_quota_test.cpp
@@ -161,8 +161,6 @@
     Reducer m_reducer;
 };
 
-constexpr double ALL = 1;
-
 } // namespace
 
 TEST_CASE("A request beyond the quota waits for the next token or is refused as not run with a time")
@@ -280,26 +278,26 @@
     using enum QuotaTrouble::Kind;
     constexpr WorkspaceQuota large { 400, 100 };
     const Row rows[] = {
-        { { "coordinator killed, below", 13, large, 0.6, QuotaSpread::Even, { { Killed, 4, 9 } } }, 0.2 },
-        { { "coordinator killed, over", 13, large, 2.5, QuotaSpread::Even, { { Killed, 4, 9 } } }, 0.2 },
-        { { "coordinator frozen, over", 13, large, 2.5, QuotaSpread::Even, { { Frozen, 4, 9 } } }, 0.2 },
-        { { "coordinator frozen for 1 s, over", 13, large, 2.5, QuotaSpread::Even, { { Frozen, 4, 5 } } }, 0.2 },
+        { { "coordinator killed, below", 13, large, 0.6, QuotaSpread::Even, { { Killed, 4, 9 } } }, 0.02 },
+        { { "coordinator killed, over", 13, large, 2.5, QuotaSpread::Even, { { Killed, 4, 9 } } }, 0.02 },
+        { { "coordinator frozen, over", 13, large, 2.5, QuotaSpread::Even, { { Frozen, 4, 9 } } }, 0.02 },
+        { { "coordinator frozen for 1 s, over", 13, large, 2.5, QuotaSpread::Even, { { Frozen, 4, 5 } } }, 0.02 },
         { { "coordinator stopped, below", 13, large, 0.6, QuotaSpread::Even, { { Stopped, 4, 99 } } }, 0.01 },
         { { "coordinator stopped, over", 13, large, 2.5, QuotaSpread::Even, { { Stopped, 4, 99 } } }, 0.05 },
         { { "coordinator added, below", 13, large, 0.6, QuotaSpread::Even, { { Absent, 0, 6 } } }, 0.01 },
         { { "coordinator added, over", 13, large, 2.5, QuotaSpread::Even, { { Absent, 0, 6 } } }, 0.05 },
-        { { "coordinator cut off, below", 13, large, 0.6, QuotaSpread::Even, { { CutOff, 4, 10 } } }, ALL },
-        { { "coordinator cut off, over", 13, large, 2.5, QuotaSpread::Even, { { CutOff, 4, 10 } } }, ALL },
-        { { "all callers at the coordinator that is cut off", 13, large, 2.5, QuotaSpread::One, { { CutOff, 4, 10, 0 } } }, ALL },
-        { { "halves, over", 12, large, 2.5, QuotaSpread::Even, { { CutOff, 4, 10, 0, 6 } } }, ALL },
-        { { "halves of 52, over", 52, large, 2.5, QuotaSpread::Even, { { CutOff, 4, 11, 0, 26 } } }, ALL },
-        { { "halves of 52, over, small quota", 52, { 20, 20 }, 6, QuotaSpread::Even, { { CutOff, 4, 11, 0, 26 } } }, ALL },
-        { { "a fifth cut off, below", 53, large, 0.5, QuotaSpread::Even, { { CutOff, 4, 10, 0, 10 } } }, ALL },
-        { { "three of 13 alone, over", 13, large, 2.5, QuotaSpread::Even, { { CutOff, 4, 10, 0, 3, true } } }, ALL },
-        { { "all of 13 alone, over", 13, large, 2.5, QuotaSpread::Even, { { CutOff, 4, 12, 0, 13, true } } }, ALL },
-        { { "all of 53 alone, one a second", 53, { 1, 1 }, 30, QuotaSpread::Even, { { CutOff, 4, 14, 0, 53, true } } }, ALL },
-        { { "coordinator lags, over", 13, large, 2.5, QuotaSpread::Even, { { Lagging, 4, 10 } } }, ALL },
-        { { "half of the instances restart, over", 13, large, 2.5, QuotaSpread::Even, { { Killed, 4, 6, 0, 6 } } }, ALL },
+        { { "coordinator cut off, below", 13, large, 0.6, QuotaSpread::Even, { { CutOff, 4, 10 } } }, 0.02 },
+        { { "coordinator cut off, over", 13, large, 2.5, QuotaSpread::Even, { { CutOff, 4, 10 } } }, 0.02 },
+        { { "all callers at the coordinator that is cut off", 13, large, 2.5, QuotaSpread::One, { { CutOff, 4, 10, 0 } } }, 0.2 },
+        { { "halves, over", 12, large, 2.5, QuotaSpread::Even, { { CutOff, 4, 10, 0, 6 } } }, 0.05 },
+        { { "halves of 52, over", 52, large, 2.5, QuotaSpread::Even, { { CutOff, 4, 11, 0, 26 } } }, 0.05 },
+        { { "halves of 52, over, small quota", 52, { 20, 20 }, 6, QuotaSpread::Even, { { CutOff, 4, 11, 0, 26 } } }, 0.05 },
+        { { "a fifth cut off, below", 53, large, 0.5, QuotaSpread::Even, { { CutOff, 4, 10, 0, 10 } } }, 0.1 },
+        { { "three of 13 alone, over", 13, large, 2.5, QuotaSpread::Even, { { CutOff, 4, 10, 0, 3, true } } }, 0.05 },
+        { { "all of 13 alone, over", 13, large, 2.5, QuotaSpread::Even, { { CutOff, 4, 12, 0, 13, true } } }, 0.1 },
+        { { "all of 53 alone, one a second", 53, { 1, 1 }, 30, QuotaSpread::Even, { { CutOff, 4, 14, 0, 53, true } } }, 0.1 },
+        { { "coordinator lags, over", 13, large, 2.5, QuotaSpread::Even, { { Lagging, 4, 10 } } }, 0.1 },
+        { { "half of the instances restart, over", 13, large, 2.5, QuotaSpread::Even, { { Killed, 4, 6, 0, 6 } } }, 0.1 },
     };
     for (const Row& row : rows) {
         for (std::uint64_t seed = 1; seed <= seedCount(); ++seed)
