--- a/include/cornelwind/decision.h
+++ b/include/cornelwind/decision.h
@@ -62,10 +62,12 @@
     WatchChanged,
     /// The sheet is known to be recent again, or no longer, so that API keys are accepted or refused.
     ApiKeysConfirmed,
+    /// The platform's store was restored from an older copy.
+    StoreRestored,
 };
 
 /// Number of values of `DecisionKind`.
-inline constexpr std::size_t DECISION_KINDS = 26;
+inline constexpr std::size_t DECISION_KINDS = 27;
 
 /// @return the name used in logs, metrics and explanations
 const char* toString(DecisionKind);
--- a/include/cornelwind/effect.h
+++ b/include/cornelwind/effect.h
@@ -128,6 +128,8 @@
     Millis listRefresh;
     /// Longest time that a call waits for a change, if the source has a history of changes.
     Millis wait;
+    /// Era of the store that this entry instance knows, from its own reads or from members.
+    StoreEra era {};
 
     friend bool operator==(const WatchPlatform&, const WatchPlatform&) = default;
 };
--- a/include/cornelwind/event.h
+++ b/include/cornelwind/event.h
@@ -166,11 +166,11 @@
 /// The platform published new, changed or removed backend servers.
 struct ServersPublished {
     std::vector<ServerChange> changes;
-    /// Every change of a server up to this revision of the platform's store is contained, here or in events before.
-    StoreRevision revision;
+    /// Every change of a server up to this position of the platform's store is contained, here or in events before.
+    StorePosition position;
     /// Whether `changes` is the complete list, so that servers missing from it are removed.
     bool complete = false;
-    /// The pages in which a complete list was read, in order. `revision` is that of the first page; later pages may contain
+    /// The pages in which a complete list was read, in order. `position` is that of the first page; later pages may contain
     /// later changes. If empty, the list was read at once.
     std::vector<ListedPage> pages {};
     /// What is wrong with items of the platform that name no server, one text each.
--- a/include/cornelwind/published_server.h
+++ b/include/cornelwind/published_server.h
@@ -44,8 +44,8 @@
     ServerName name;
     /// The new entry; empty if the entry was removed or could not be parsed.
     std::optional<PublishedServer> server;
-    /// Revision of the platform's store at which the change happened.
-    StoreRevision revision;
+    /// Position in the history of the platform's store at which the change happened.
+    StorePosition position;
     /// Why the entry could not be parsed; empty otherwise.
     std::string problem {};
 };
@@ -54,8 +54,8 @@
 struct ListedPage {
     /// Last name that the page covers; empty for the last page, which covers all names after the page before.
     std::optional<ServerName> last;
-    /// Revision of the platform's store when the page was read.
-    StoreRevision asOf;
+    /// Position in the history of the platform's store when the page was read.
+    StorePosition asOf;
 };
 
 } // namespace cornelwind
--- a/include/cornelwind/types.h
+++ b/include/cornelwind/types.h
@@ -34,8 +34,22 @@
 /// Hash of method, target and body of a request.
 using Fingerprint = StrongType<struct FingerprintTag, std::uint64_t>;
 
-/// Position in the platform's history of published values.
+/// Position in one history of the platform's published values.
 using StoreRevision = StrongType<struct StoreRevisionTag, std::uint64_t>;
+/// Number of the history, which rises when the platform's store is restored from an older copy and assigns revisions again. 0 if the
+/// store has not stated one.
+using StoreEra = StrongType<struct StoreEraTag, std::uint64_t>;
+/// Position in all histories of the platform's published values. A later era comes after an earlier one, whatever the revisions.
+struct StorePosition {
+    StoreEra era;
+    StoreRevision revision;
+
+    friend constexpr auto operator<=>(const StorePosition&, const StorePosition&) = default;
+    friend constexpr bool operator==(const StorePosition&, const StorePosition&) = default;
+};
+
+/// @return the text used in logs: "revision 7", or "revision 7 of era 2" if the store states eras
+std::string toString(const StorePosition&);
 /// Version number written in a sheet; a newer sheet has a higher one.
 using SheetVersion = StrongType<struct SheetVersionTag, std::uint64_t>;
 /// Hash of the content of a sheet.
--- a/src/decision/decision.cpp
+++ b/src/decision/decision.cpp
@@ -11,7 +11,7 @@
         "refused", "sheet-adopted", "sheet-refused", "member-changed", "self-distrusted", "draining", "handed-over",
         "platform-changed", "server-suspected", "server-cleared", "servers-idle",
         "server-limited", "server-unlimited", "server-backoff", "notice-invalid",
-        "server-added", "entry-invalid", "watch-changed", "api-keys-confirmed"
+        "server-added", "entry-invalid", "watch-changed", "api-keys-confirmed", "store-restored"
     };
 
 } // namespace
--- a/src/decision/gossip.cpp
+++ b/src/decision/gossip.cpp
@@ -23,6 +23,9 @@
     // Minimum time between two pings that are sent to confirm the sheet.
     constexpr Duration CONFIRMATION_PING_INTERVAL = std::chrono::milliseconds(300);
 
+    // Age of a contact with the platform that does not count; beyond all limits.
+    constexpr Millis NO_CONTACT { std::chrono::hours(1) };
+
     std::uint32_t toMillis(Duration duration)
     {
         constexpr Duration limit = std::chrono::hours(24 * 30);
@@ -232,7 +235,8 @@
     for (peer::Member& update : m_members.takeUpdates(UPDATES_PER_MESSAGE))
         *message.add_updates() = std::move(update);
     message.set_platform_age_ms(toMillis(m_contact.statedAge(context.now())));
-    message.set_servers_revision(m_serversRevision.value());
+    message.set_servers_revision(m_serversPosition.revision.value());
+    message.set_servers_era(m_serversPosition.era.value());
     if (!m_activeSheet.current())
         return;
     message.mutable_sheet()->set_version(m_activeSheet.current()->version.value());
@@ -244,11 +248,13 @@
 {
     for (const peer::Member& update : message.updates())
         m_members.merge(update, context);
-    sender.platformAge = Millis { message.platform_age_ms() };
+    const StorePosition position { StoreEra { message.servers_era() }, StoreRevision { message.servers_revision() } };
+    // The changes that a member of an earlier era tells of do not count here, so its contact is none.
+    sender.platformAge = position.era < m_serversPosition.era ? NO_CONTACT : Millis { message.platform_age_ms() };
     sender.platformAgeAt = context.now();
-    if (const StoreRevision revision { message.servers_revision() }; revision.value() && revision >= m_highestPeerRevision) {
-        m_highestPeerRevision = revision;
-        m_highestRevisionPeer = sender.name;
+    if (position.revision.value() && position >= m_latestPeerPosition) {
+        m_latestPeerPosition = position;
+        m_latestPositionPeer = sender.name;
     }
     const SheetVersion version { message.sheet().version() };
     if (!m_activeSheet.shouldRequest(version, SheetHash { message.sheet().hash() }, sender.name.value(), context))
--- a/src/decision/gossip.h
+++ b/src/decision/gossip.h
@@ -71,12 +71,12 @@
     /// current; the members of other platforms check the contact seldom.
     void announceContact(Context& context);
 
-    /// Sets the revision of the published servers that messages state from now on.
-    void setServersRevision(StoreRevision revision) { m_serversRevision = revision; }
-    /// @return the highest revision of the published servers that any member has stated
-    StoreRevision highestPeerRevision() const { return m_highestPeerRevision; }
+    /// Sets the position of the published servers that messages state from now on.
+    void setServersPosition(StorePosition position) { m_serversPosition = position; }
+    /// @return the latest position of the published servers that any member has stated
+    StorePosition latestPeerPosition() const { return m_latestPeerPosition; }
     /// @return the member that stated it last, which is the likeliest to answer
-    const InstanceName& highestRevisionPeer() const { return m_highestRevisionPeer; }
+    const InstanceName& latestPositionPeer() const { return m_latestPositionPeer; }
 
     void setSeeds(std::vector<Endpoint> seeds) { m_identity.seeds = std::move(seeds); }
     /// States `MemberState::Leaving` in all messages from now on.
@@ -147,9 +147,9 @@
     Time m_start;
     Time m_nextRound;
     Time m_sheetRequestedAt;
-    StoreRevision m_serversRevision;
-    StoreRevision m_highestPeerRevision;
-    InstanceName m_highestRevisionPeer;
+    StorePosition m_serversPosition;
+    StorePosition m_latestPeerPosition;
+    InstanceName m_latestPositionPeer;
     bool m_leaving = false;
     bool m_started = false;
 };
--- a/src/decision/reducer_state.cpp
+++ b/src/decision/reducer_state.cpp
@@ -74,7 +74,7 @@
     if (m_serverRegistry.onPublished(event, context))
         adoptSheetWithServers(context);
     notifyZoneOfServers(context);
-    m_gossip.setServersRevision(m_serverRegistry.revision());
+    m_gossip.setServersPosition(m_serverRegistry.position());
 }
 
 void Reducer::State::on(const ProbeFinished& event, Context& context)
@@ -206,7 +206,7 @@
     if (m_serverRegistry.onTick(context))
         adoptSheetWithServers(context);
     notifyZoneOfServers(context);
-    if (m_gossip.highestPeerRevision() <= m_serverRegistry.revision()) {
+    if (m_gossip.latestPeerPosition() <= m_serverRegistry.position()) {
         m_laggingSince.reset();
         return;
     }
@@ -222,12 +222,12 @@
 // revision. If it has no working watch or has already asked for this revision, it asks a peer for the list.
 void Reducer::State::catchUp(Context& context)
 {
-    if (m_watch.enabled && m_serverRegistry.reachable() && m_gossip.highestPeerRevision() != m_refreshRequestedFor) {
-        m_refreshRequestedFor = m_gossip.highestPeerRevision();
+    if (m_watch.enabled && m_serverRegistry.reachable() && m_gossip.latestPeerPosition() != m_refreshRequestedFor) {
+        m_refreshRequestedFor = m_gossip.latestPeerPosition();
         context.emit(RefreshPublished {});
         return;
     }
-    MemberRecord* source = m_members.find(m_gossip.highestRevisionPeer());
+    MemberRecord* source = m_members.find(m_gossip.latestPositionPeer());
     if (!source)
         return;
     auto message = std::make_shared<peer::Envelope>();
@@ -252,7 +252,7 @@
 {
     if (m_serverRegistry.onPeerUpdate(update, context))
         adoptSheetWithServers(context);
-    m_gossip.setServersRevision(m_serverRegistry.revision());
+    m_gossip.setServersPosition(m_serverRegistry.position());
 }
 
 void Reducer::State::sendServerList(const peer::ServersRequest& request, const MemberRecord& to, Context& context)
@@ -271,7 +271,7 @@
         return;
     if (m_serverRegistry.onPeerList(reply, context))
         adoptSheetWithServers(context);
-    m_gossip.setServersRevision(m_serverRegistry.revision());
+    m_gossip.setServersPosition(m_serverRegistry.position());
 }
 
 void Reducer::State::sendSheet(const MemberRecord& to, Context& context)
@@ -288,7 +288,7 @@
     if (m_watch.enabled)
         m_gossip.announceContact(context);
     const Millis refresh = std::max<Millis>(MIN_LIST_REFRESH, LIST_REFRESH_PER_INSTANCE * (1 + m_members.liveCount()));
-    const WatchPlatform before = std::exchange(m_watch, { m_gossip.contact().shouldWatch(context.now()), refresh, m_gossip.contact().watchWait(context.now()) });
+    const WatchPlatform before = std::exchange(m_watch, { m_gossip.contact().shouldWatch(context.now()), refresh, m_gossip.contact().watchWait(context.now()), m_serverRegistry.era() });
     if (m_watch == before)
         return;
     context.emit(m_watch);
--- a/src/decision/reducer_state.h
+++ b/src/decision/reducer_state.h
@@ -89,7 +89,7 @@
     std::optional<CallerLimits> m_callerLimits;
     std::optional<Time> m_laggingSince;
     Time m_nextCatchUp;
-    StoreRevision m_refreshRequestedFor;
+    StorePosition m_refreshRequestedFor;
     bool m_serversPublishedSeparately;
     /// The latest order to the platform source.
     WatchPlatform m_watch {};
--- a/src/decision/server_codec.cpp
+++ b/src/decision/server_codec.cpp
@@ -4,9 +4,9 @@
 
 namespace cornelwind {
 
-ServerChange readEntry(const peer::ServerEntry& row, StoreRevision fallback)
+ServerChange readEntry(const peer::ServerEntry& row, StorePosition message)
 {
-    ServerChange change { ServerName { row.name() }, {}, row.revision() ? StoreRevision { row.revision() } : fallback };
+    ServerChange change { ServerName { row.name() }, {}, { StoreEra { message.era.value() + row.era_lead() }, row.revision() ? StoreRevision { row.revision() } : message.revision } };
     const auto address = parseEndpoint(row.address());
     if (!address) {
         change.problem = "address " + row.address();
@@ -27,7 +27,7 @@
     return change;
 }
 
-void writeEntry(const PublishedServer& server, StoreRevision revision, peer::ServerEntry& row)
+void writeEntry(const PublishedServer& server, StorePosition position, StoreEra era, peer::ServerEntry& row)
 {
     row.set_name(server.name.value());
     row.set_service(server.service.value());
@@ -37,7 +37,8 @@
     row.set_leaving(server.leaving);
     row.set_warmup_ms(static_cast<std::uint32_t>(server.warmup.count()));
     row.set_incarnation(server.incarnation);
-    row.set_revision(revision.value());
+    row.set_revision(position.revision.value());
+    row.set_era_lead(position.era.value() - era.value());
 }
 
 } // namespace cornelwind
--- a/src/decision/server_registry.cpp
+++ b/src/decision/server_registry.cpp
@@ -15,30 +15,76 @@
     constexpr const char* UNUSABLE = "its entry cannot be used";
     constexpr const char* EXPIRED = "its entry expired and was not restored";
 
-    std::string toText(StoreRevision revision)
+    StorePosition positionOf(const peer::ServersReply& list)
     {
-        return "revision " + std::to_string(revision.value());
+        return { StoreEra { list.era() }, StoreRevision { list.revision() } };
+    }
+
+    StorePosition positionOf(const peer::ServersNews& news)
+    {
+        return { StoreEra { news.era() }, StoreRevision { news.revision() } };
+    }
+
+    StorePosition sinceOf(const peer::ServersNews& news)
+    {
+        return { StoreEra { news.since_era() }, StoreRevision { news.since() } };
+    }
+
+    /// @param message era of the message that contains the row
+    StorePosition positionOf(const peer::ServerRemoval& row, StoreEra message)
+    {
+        return { StoreEra { message.value() + row.era_lead() }, StoreRevision { row.revision() } };
     }
 
 } // namespace
 
 bool ServerRegistry::onPublished(const ServersPublished& event, Context& context)
 {
+    // An answer that was made before the restore that is known here.
+    if (event.position.era < m_position.era)
+        return false;
+    noteEra(event.position.era, context);
     for (const std::string& problem : event.unreadable)
-        context.report(DecisionKind::EntryInvalid, "platform", problem, toText(event.revision));
+        context.report(DecisionKind::EntryInvalid, "platform", problem, toString(event.position));
     bool changed = false;
     for (const ServerChange& change : event.changes)
-        changed = apply(change, removalByPlatform(change.revision, context.now()), context) || changed;
+        changed = apply(change, removalByPlatform(change.position, context.now()), context) || changed;
     if (event.complete)
         changed = removeUnlisted(event, context) || changed;
-    m_hasList = true;
-    m_revision = std::max(m_revision, event.revision);
+    noteList(context.now());
+    m_position = std::max(m_position, event.position);
     return changed;
 }
 
-ServerRegistry::Removal ServerRegistry::removalByPlatform(StoreRevision revision, Time now) const
+void ServerRegistry::noteList(Time now)
+{
+    if (!std::exchange(m_hasList, true))
+        m_listedAt = now;
+}
+
+void ServerRegistry::noteEra(StoreEra era, Context& context)
+{
+    if (era <= m_era)
+        return;
+    const StoreEra before = std::exchange(m_era, era);
+    // The restored store states them again if it holds them.
+    m_deferred.clear();
+    if (!m_hasList)
+        return;
+    m_hadOutage = true;
+    m_reachableSince = context.now();
+    context.report(DecisionKind::StoreRestored, "platform", "era " + std::to_string(era.value()) + " after era " + std::to_string(before.value()) + "; servers stay in use until they are written again", toString(m_position));
+}
+
+Duration ServerRegistry::graceLeft(Time now) const
 {
-    Removal removal { revision, {}, false, REMOVED };
+    const Time since = m_hadOutage ? std::max(m_listedAt, m_reachableSince) : m_listedAt;
+    return m_reachable ? std::max(since + EXPIRY_GRACE - now, Duration {}) : EXPIRY_GRACE;
+}
+
+ServerRegistry::Removal ServerRegistry::removalByPlatform(StorePosition position, Time now) const
+{
+    Removal removal { position, {}, false, REMOVED };
     if (!inExpiryGrace(now))
         return removal;
     removal.removeAt = std::max(now, m_reachableSince) + EXPIRY_GRACE;
@@ -51,57 +97,148 @@
     std::set<ServerName> listed;
     for (const ServerChange& change : event.changes)
         listed.insert(change.name);
-    std::vector<std::pair<ServerName, StoreRevision>> unlisted;
+    std::vector<std::pair<ServerName, StorePosition>> unlisted;
     auto page = event.pages.begin();
     for (const auto& [name, record] : m_records) {
         while (page != event.pages.end() && page->last && name > *page->last)
             ++page;
-        const StoreRevision asOf = page == event.pages.end() ? event.revision : page->asOf;
-        if (!record.removed && record.revision <= asOf && !listed.contains(name))
+        const StorePosition asOf = page == event.pages.end() ? event.position : page->asOf;
+        if (!record.removed && record.position <= asOf && !listed.contains(name))
             unlisted.emplace_back(name, asOf);
     }
+    std::erase_if(m_deferred, [&](const auto& row) { return !listed.contains(row.first) && row.second.position <= event.position; });
     bool changed = false;
     for (const auto& [name, asOf] : unlisted)
         changed = applyRemoval(name, removalByPlatform(asOf, context.now()), context) || changed;
     return changed;
 }
 
-bool ServerRegistry::isNews(const ServerName& name, StoreRevision revision) const
+StorePosition ServerRegistry::latestPosition(const ServerName& name) const
 {
+    if (const auto deferred = m_deferred.find(name); deferred != m_deferred.end())
+        return deferred->second.position;
     const auto found = m_records.find(name);
-    return revision > (found == m_records.end() ? m_revision : found->second.revision);
+    return found == m_records.end() ? m_position : found->second.position;
 }
 
-bool ServerRegistry::apply(const ServerChange& change, const Removal& removal, Context& context)
+bool ServerRegistry::isNews(const ServerName& name, StorePosition position) const
+{
+    return position > latestPosition(name);
+}
+
+std::optional<ServerRegistry::EarlierEra> ServerRegistry::earlierEraOf(const ServerName& name, StorePosition position) const
+{
+    if (const auto found = m_records.find(name); found != m_records.end() && found->second.server) {
+        const PublishedServer& server = *found->second.server;
+        return found->second.position.era < position.era ? std::optional<EarlierEra>({ found->second.position, server.incarnation, server.leaving }) : std::nullopt;
+    }
+    const auto departed = m_departed.find(name);
+    if (!departed || departed->position.era >= position.era)
+        return std::nullopt;
+    return EarlierEra { departed->position, departed->incarnation, departed->leaving };
+}
+
+// Revisions up to that of the copy are common to both eras. So an entry with a lower revision than the change known here is either
+// an older entry from the copy, or was written after the restore.
+bool ServerRegistry::mayBeOld(const ServerChange& change, const EarlierEra& before) const
 {
-    if (!isNews(change.name, change.revision))
+    const bool isAfterFirstSight = change.position.era == m_position.era && change.position > m_position;
+    return change.position.revision < before.position.revision && !isAfterFirstSight && !m_deferred.contains(change.name);
+}
+
+bool ServerRegistry::applyNewEntry(const ServerChange& change, Context& context)
+{
+    const PublishedServer& server = *change.server;
+    const auto before = earlierEraOf(change.name, change.position);
+    if (!before)
+        return applyEntry(server, change.position, context);
+    const bool isSameStart = server.incarnation == before->incarnation;
+    const bool isOld = mayBeOld(change, *before);
+    if (before->leaving && isSameStart && (server.incarnation || isOld)) {
+        PublishedServer leaving = server;
+        leaving.leaving = true;
+        const bool changed = applyEntry(leaving, change.position, context);
+        m_records.at(change.name).leftEarlier = true;
+        return changed;
+    }
+    const auto found = m_records.find(change.name);
+    const bool isKnown = found != m_records.end() && found->second.server == server;
+    if (!isOld || isKnown || (server.leaving && isSameStart))
+        return applyEntry(server, change.position, context);
+    defer(change);
+    return false;
+}
+
+void ServerRegistry::defer(const ServerChange& change)
+{
+    m_deferred.insert_or_assign(change.name, change);
+    m_pending.insert(change.name);
+}
+
+bool ServerRegistry::applyDeferred(Context& context)
+{
+    if (m_deferred.empty() || inExpiryGrace(context.now()))
+        return false;
+    bool changed = false;
+    for (const auto& [name, change] : std::exchange(m_deferred, {}))
+        changed = applyEntry(*change.server, change.position, context) || changed;
+    return changed;
+}
+
+bool ServerRegistry::applyLeaving(const ServerChange& change, Context& context)
+{
+    const auto found = m_records.find(change.name);
+    if (!change.position.era.value() || !change.server || !change.server->leaving || found == m_records.end())
         return false;
+    const Record& record = found->second;
+    if (record.position != change.position || record.removed || !record.server || record.server->leaving || record.server->incarnation != change.server->incarnation)
+        return false;
+    applyEntry(*change.server, change.position, context);
+    found->second.leftEarlier = true;
+    return true;
+}
+
+bool ServerRegistry::apply(const ServerChange& change, const Removal& removal, Context& context)
+{
+    noteEra(change.position.era, context);
+    if (!isNews(change.name, change.position))
+        return applyLeaving(change, context);
     if (change.server)
-        return applyEntry(*change.server, change.revision, context);
+        return applyNewEntry(change, context);
     if (change.problem.empty())
         return applyRemoval(change.name, removal, context);
-    context.report(DecisionKind::EntryInvalid, change.name.value(), change.problem, toText(change.revision));
-    return applyRemoval(change.name, { change.revision, {}, false, UNUSABLE }, context);
+    context.report(DecisionKind::EntryInvalid, change.name.value(), change.problem, toString(change.position));
+    return applyRemoval(change.name, { change.position, {}, false, UNUSABLE }, context);
 }
 
-bool ServerRegistry::applyEntry(const PublishedServer& server, StoreRevision revision, Context& context)
+bool ServerRegistry::applyEntry(const PublishedServer& published, StorePosition position, Context& context)
 {
-    const std::optional<PublishedServer> before = std::exchange(m_records[server.name], Record { revision, false, server, {}, false }).server;
-    m_pending.insert(server.name);
+    PublishedServer server = published;
+    const Record previous = std::exchange(m_records[server.name], {});
+    const std::optional<PublishedServer>& before = previous.server;
+    const bool leftEarlier = previous.leftEarlier && before && before->incarnation == server.incarnation && server.incarnation;
+    server.leaving = server.leaving || leftEarlier;
     if (server.leaving && !(before && before->leaving))
-        context.report(DecisionKind::Leaving, server.name.value(), "its entry is marked as leaving", toText(revision));
+        context.report(DecisionKind::Leaving, server.name.value(), "its entry is marked as leaving", toString(position));
     if (!server.leaving && !before && m_hasList)
-        context.report(DecisionKind::ServerAdded, server.name.value(), "its entry is published", toText(revision));
-    return before != server;
+        context.report(DecisionKind::ServerAdded, server.name.value(), "its entry is published", toString(position));
+    const bool changed = before != server;
+    m_pending.insert(server.name);
+    m_deferred.erase(server.name);
+    m_departed.remove(server.name);
+    Record& record = m_records[published.name];
+    record = Record { position, false, std::move(server), {}, false, leftEarlier };
+    return changed;
 }
 
 bool ServerRegistry::applyRemoval(const ServerName& name, const Removal& removal, Context& context)
 {
     const auto position = m_records.try_emplace(name).first;
     Record& record = position->second;
-    record.revision = removal.revision;
+    record.position = removal.position;
     record.removed = true;
     m_pending.insert(name);
+    m_deferred.erase(name);
     if (!record.server)
         return false;
     if (removal.removeAt && !record.server->leaving) {
@@ -116,7 +253,8 @@
 void ServerRegistry::dropServer(Records::iterator position, const char* evidence, Context& context)
 {
     Record& record = position->second;
-    context.report(DecisionKind::Leaving, position->first.value(), evidence, toText(record.revision));
+    context.report(DecisionKind::Leaving, position->first.value(), evidence, toString(record.position));
+    m_departed.add(*record.server, record.position, context.now());
     record.server.reset();
     record.removeAt.reset();
 }
@@ -142,12 +280,13 @@
         return;
     m_reachable = false;
     m_unreachableSince = context.now();
-    context.report(DecisionKind::PlatformChanged, "platform", "unreachable; the last known servers stay in use", toText(m_revision));
+    context.report(DecisionKind::PlatformChanged, "platform", "unreachable; the last known servers stay in use", toString(m_position));
 }
 
 bool ServerRegistry::onTick(Context& context)
 {
-    bool changed = false;
+    m_departed.expire(context.now());
+    bool changed = applyDeferred(context);
     for (auto position = m_records.begin(); position != m_records.end(); ++position) {
         if (!isOver(position->second, context.now()))
             continue;
@@ -170,70 +309,90 @@
 {
     std::erase_if(m_records, [&](const auto& row) {
         const Record& record = row.second;
-        return record.removed && !record.server && record.revision <= m_revision && !m_pending.contains(row.first);
+        return record.removed && !record.server && record.position <= m_position && !m_pending.contains(row.first);
     });
 }
 
 bool ServerRegistry::onPeerList(const peer::ServersReply& reply, Context& context)
 {
-    const StoreRevision revision { reply.revision() };
-    if (revision <= m_revision)
+    const StorePosition position = positionOf(reply);
+    if (position <= m_position)
         return false;
+    noteEra(position.era, context);
     bool changed = false;
     std::set<ServerName> listed;
     for (const peer::ServerEntry& row : reply.servers()) {
-        const ServerChange change = readEntry(row, revision);
+        const ServerChange change = readEntry(row, position);
         listed.insert(change.name);
-        changed = apply(change, { change.revision, {}, false, REMOVED_BY_PEER }, context) || changed;
+        changed = apply(change, { change.position, {}, false, REMOVED_BY_PEER }, context) || changed;
     }
     for (const peer::ServerRemoval& row : reply.removals()) {
         const ServerName name { row.name() };
-        changed = applyPeerRemoval(row, context) || changed;
+        changed = applyPeerRemoval(row, position.era, context) || changed;
         // An entry that is later than the removal has been removed since, too.
         if (const auto found = m_records.find(name); found != m_records.end() && found->second.removed)
             listed.insert(name);
     }
+    std::erase_if(m_deferred, [&](const auto& row) { return !listed.contains(row.first) && row.second.position <= position; });
     std::vector<ServerName> unlisted;
     for (const auto& [name, record] : m_records) {
-        if (record.server && record.revision <= revision && !listed.contains(name))
+        if (record.server && record.position <= position && !listed.contains(name))
             unlisted.push_back(name);
     }
     for (const ServerName& name : unlisted)
-        changed = applyRemoval(name, { revision, {}, false, REMOVED_BY_PEER }, context) || changed;
-    m_hasList = true;
-    m_revision = revision;
+        changed = applyRemoval(name, removalByList(m_records.at(name), reply, position, context.now()), context) || changed;
+    noteList(context.now());
+    m_position = position;
     return changed;
 }
 
-bool ServerRegistry::applyPeerRemoval(const peer::ServerRemoval& row, Context& context)
+// The server may write its entry again, unless the member has waited for that.
+ServerRegistry::Removal ServerRegistry::removalByList(const Record& record, const peer::ServersReply& list, StorePosition position, Time now) const
+{
+    Removal removal { position, {}, false, REMOVED_BY_PEER };
+    if (record.position.era < position.era && list.unlisted_in_use_ms())
+        removal.removeAt = now + std::min<Duration>(Millis { list.unlisted_in_use_ms() }, EXPIRY_GRACE);
+    return removal;
+}
+
+bool ServerRegistry::applyPeerRemoval(const peer::ServerRemoval& row, StoreEra message, Context& context)
 {
     const ServerName name { row.name() };
-    Removal removal { StoreRevision { row.revision() }, {}, false, REMOVED_BY_PEER };
+    Removal removal { positionOf(row, message), {}, false, REMOVED_BY_PEER };
     if (row.in_use_ms())
         removal.removeAt = context.now() + std::min<Duration>(Millis { row.in_use_ms() }, EXPIRY_GRACE);
-    if (isNews(name, removal.revision))
+    noteEra(removal.position.era, context);
+    if (isNews(name, removal.position))
         return applyRemoval(name, removal, context);
     // The member may know sooner that the removal is final.
     const auto found = m_records.find(name);
-    const bool isSame = found != m_records.end() && found->second.removed && found->second.server && found->second.revision == removal.revision;
+    const bool isSame = found != m_records.end() && found->second.removed && found->second.server && found->second.position == removal.position;
     return isSame && applyRemoval(name, removal, context);
 }
 
 void ServerRegistry::write(peer::ServersReply& reply, Time now) const
 {
-    reply.set_revision(m_revision.value());
+    reply.set_revision(m_position.revision.value());
+    reply.set_era(m_position.era.value());
+    if (m_position.era.value())
+        reply.set_unlisted_in_use_ms(static_cast<std::uint32_t>(std::chrono::ceil<Millis>(graceLeft(now)).count()));
     for (const auto& [name, record] : m_records) {
+        if (record.position.era < m_position.era || m_deferred.contains(name))
+            continue;
         if (record.removed)
             writeRemoval(name, record, now, *reply.add_removals());
         else
-            writeEntry(*record.server, record.revision, *reply.add_servers());
+            writeEntry(*record.server, record.position, m_position.era, *reply.add_servers());
     }
+    for (const auto& [name, change] : m_deferred)
+        writeEntry(*change.server, change.position, m_position.era, *reply.add_servers());
 }
 
-void ServerRegistry::writeRemoval(const ServerName& name, const Record& record, Time now, peer::ServerRemoval& row)
+void ServerRegistry::writeRemoval(const ServerName& name, const Record& record, Time now, peer::ServerRemoval& row) const
 {
     row.set_name(name.value());
-    row.set_revision(record.revision.value());
+    row.set_revision(record.position.revision.value());
+    row.set_era_lead(record.position.era.value() - m_position.era.value());
     if (!record.removeAt)
         return;
     const auto left = std::chrono::ceil<Millis>(*record.removeAt - now);
@@ -242,50 +401,60 @@
 
 std::shared_ptr<peer::Envelope> ServerRegistry::takePendingUpdate(Time now)
 {
-    const auto isComplete = [&](const ServerName& name) { return m_records.at(name).revision <= m_revision; };
-    if (m_sentRevision == m_revision && std::none_of(m_pending.begin(), m_pending.end(), isComplete))
+    const auto isComplete = [&](const ServerName& name) { return latestPosition(name) <= m_position; };
+    if (m_sentPosition == m_position && std::none_of(m_pending.begin(), m_pending.end(), isComplete))
         return nullptr;
     auto message = std::make_shared<peer::Envelope>();
     peer::ServersNews& news = *message->mutable_servers_news();
-    news.set_since(m_sentRevision.value());
-    news.set_revision(m_revision.value());
-    for (const ServerName& name : m_pending) {
-        const Record& record = m_records.at(name);
-        if (!record.removed) {
-            writeEntry(*record.server, record.revision, *news.add_changed());
-            continue;
-        }
-        writeRemoval(name, record, now, *news.add_removals());
-        news.add_removed(name.value());
-    }
-    // Changes after `m_revision` are sent once more: a receiver whose list reaches that revision need not contain them.
+    news.set_since(m_sentPosition.revision.value());
+    news.set_since_era(m_sentPosition.era.value());
+    news.set_revision(m_position.revision.value());
+    news.set_era(m_position.era.value());
+    for (const ServerName& name : m_pending)
+        writeChange(name, now, news);
+    // Changes after `m_position` are sent once more: a receiver whose list reaches that revision need not contain them.
     std::erase_if(m_pending, isComplete);
-    m_sentRevision = m_revision;
+    m_sentPosition = m_position;
     forgetRemovals();
     return message;
 }
 
+void ServerRegistry::writeChange(const ServerName& name, Time now, peer::ServersNews& news) const
+{
+    if (const auto deferred = m_deferred.find(name); deferred != m_deferred.end())
+        return writeEntry(*deferred->second.server, deferred->second.position, m_position.era, *news.add_changed());
+    const auto found = m_records.find(name);
+    if (found == m_records.end() || found->second.position.era < m_position.era)
+        return;
+    const Record& record = found->second;
+    if (!record.removed)
+        return writeEntry(*record.server, record.position, m_position.era, *news.add_changed());
+    writeRemoval(name, record, now, *news.add_removals());
+    news.add_removed(name.value());
+}
+
 bool ServerRegistry::onPeerUpdate(const peer::ServersNews& news, Context& context)
 {
     if (!m_hasList)
         return false;
-    const StoreRevision revision { news.revision() };
+    const StorePosition position = positionOf(news);
+    noteEra(position.era, context);
     bool changed = false;
     for (const peer::ServerEntry& row : news.changed()) {
-        const ServerChange change = readEntry(row, revision);
-        changed = apply(change, { change.revision, {}, false, REMOVED_BY_PEER }, context) || changed;
+        const ServerChange change = readEntry(row, position);
+        changed = apply(change, { change.position, {}, false, REMOVED_BY_PEER }, context) || changed;
     }
     for (const peer::ServerRemoval& row : news.removals())
-        changed = applyPeerRemoval(row, context) || changed;
+        changed = applyPeerRemoval(row, position.era, context) || changed;
     for (int i = news.removals_size(); i < news.removed_size(); ++i) {
         peer::ServerRemoval row;
         row.set_name(news.removed(i));
         row.set_revision(news.revision());
-        changed = applyPeerRemoval(row, context) || changed;
+        changed = applyPeerRemoval(row, position.era, context) || changed;
     }
-    // After a loss the members state a higher revision than this entry instance has, so it requests the complete list.
-    if (StoreRevision { news.since() } <= m_revision && containsOwnChanges(news))
-        m_revision = std::max(m_revision, revision);
+    // After a loss the members state a later position than this entry instance has, so it requests the complete list.
+    if (sinceOf(news) <= m_position && containsOwnChanges(news))
+        m_position = std::max(m_position, position);
     return changed;
 }
 
@@ -297,8 +466,8 @@
     for (const std::string& name : news.removed())
         contained.insert(ServerName { name });
     return std::all_of(m_records.begin(), m_records.end(), [&](const auto& row) {
-        const std::uint64_t revision = row.second.revision.value();
-        return row.second.removed || revision <= news.since() || revision > news.revision() || contained.contains(row.first);
+        const StorePosition position = row.second.position;
+        return row.second.removed || position <= sinceOf(news) || position > positionOf(news) || contained.contains(row.first);
     });
 }
 
--- a/src/decision/types.cpp
+++ b/src/decision/types.cpp
@@ -37,6 +37,12 @@
     return ServiceId { XXH3_64bits(name.value().data(), name.value().size()) };
 }
 
+std::string toString(const StorePosition& position)
+{
+    const std::string revision = "revision " + std::to_string(position.revision.value());
+    return position.era.value() ? revision + " of era " + std::to_string(position.era.value()) : revision;
+}
+
 const char* toString(Outcome outcome)
 {
     switch (outcome) {
--- a/src/shell/metadata_store.h
+++ b/src/shell/metadata_store.h
@@ -11,7 +11,7 @@
 
 namespace cornelwind {
 
-/// A decoded change in the metadata store.
+/// A decoded change in the metadata store. Its revision belongs to the era that the reply states, which the user of the reply adds.
 struct StoreChange {
     StoreRevision revision;
     /// Text of the new sheet, if the sheet changed.
@@ -45,7 +45,11 @@
     /// Last server that the page covers; empty after the last page.
     std::optional<ServerName> lastServer;
     /// What is wrong with the items that name no server and no sheet, one text each.
-    std::vector<std::string> unreadable;
+    std::vector<std::string> unreadable {};
+    /// Era that the response states; empty if it states none, or none that can be read.
+    std::optional<StoreEra> era {};
+    /// What the response states instead of a number; empty if it states nothing or a number.
+    std::string unreadableEra {};
 };
 
 /// Interface to the metadata store, which keeps a history of revisions. Makes single calls and does not retry.
--- a/src/shell/metadata_store_watcher.cpp
+++ b/src/shell/metadata_store_watcher.cpp
@@ -41,6 +41,7 @@
     const bool mustAnswerSooner = options.wait < m_wait;
     m_watchEnabled = options.enabled;
     m_wait = options.wait;
+    m_eras.learn(options.era);
     if (m_watchEnabled && m_suspended)
         return call();
     if (m_watchEnabled)
@@ -114,6 +115,8 @@
     if (callNumber != m_callNumber)
         return;
     m_callInProgress = false;
+    if (checkEra(reply))
+        return;
     if (reply.status == StoreStatus::HistoryGone) {
         logMessage(LogLevel::Warn, LogComponent::Platform, "Metadata store no longer holds the history from revision " + std::to_string(m_revision.value()) + "; reading all values again.");
         restartFromFullRead();
@@ -127,6 +130,29 @@
     (this->*handlers.at(static_cast<std::size_t>(m_state)))(reply);
 }
 
+bool MetadataStoreWatcher::checkEra(const StoreReply& reply)
+{
+    if (reply.status != StoreStatus::Ok && reply.status != StoreStatus::HistoryGone)
+        return false;
+    const StoreEra before = m_eras.era();
+    switch (m_eras.onReply(reply)) {
+    case StoreEraTracker::Verdict::Use:
+        return false;
+    case StoreEraTracker::Verdict::Repeat:
+        m_wasAnswered = false;
+        scheduleCall(addJitter(INITIAL_BACKOFF));
+        return true;
+    case StoreEraTracker::Verdict::ReadAll:
+        break;
+    }
+    if (m_state == State::ReadSheet)
+        return false;
+    logMessage(LogLevel::Warn, LogComponent::Platform, "Metadata store is in era " + std::to_string(m_eras.era().value()) + ", values up to revision " + std::to_string(m_revision.value()) + " of era " + std::to_string(before.value()) + " are known; reading all values again.");
+    restartFromFullRead();
+    call();
+    return true;
+}
+
 void MetadataStoreWatcher::onFailure(StoreStatus status)
 {
     if (!m_failures)
@@ -168,12 +194,12 @@
 {
     for (const StoreChange& change : reply.changes) {
         if (change.server)
-            m_list.changes.push_back(*change.server);
+            m_list.changes.push_back(changeOf(*change.server));
     }
     m_list.unreadable.insert(m_list.unreadable.end(), reply.unreadable.begin(), reply.unreadable.end());
     if (m_list.pages.empty())
-        m_list.revision = reply.revision;
-    m_list.pages.push_back({ reply.lastServer, reply.revision });
+        m_list.position = positionOf(reply.revision);
+    m_list.pages.push_back({ reply.lastServer, positionOf(reply.revision) });
     m_nextPage = reply.nextPage;
     if (m_nextPage.empty()) {
         m_state = State::Watch;
@@ -196,13 +222,13 @@
         if (change.sheet)
             m_handler(SheetFetched { *change.sheet });
         if (change.server)
-            servers.changes.push_back(*change.server);
+            servers.changes.push_back(changeOf(*change.server));
     }
     servers.unreadable = reply.unreadable;
     if (servers.changes.empty() && servers.unreadable.empty() && reply.revision <= m_revision)
         m_handler(PlatformReachable {});
     else {
-        servers.revision = reply.revision;
+        servers.position = positionOf(reply.revision);
         m_handler(std::move(servers));
     }
     m_handler(SheetConfirmed { replyMadeAfter(reply) });
--- a/src/shell/metadata_store_watcher.h
+++ b/src/shell/metadata_store_watcher.h
@@ -3,6 +3,7 @@
 #include "metadata_store.h"
 #include "one_shot_timer.h"
 #include "platform_source.h"
+#include "store_era_tracker.h"
 
 #include <functional>
 #include <memory>
@@ -13,6 +14,8 @@
 
 /// Follows the metadata store, which keeps a history of revisions: reads all values, then watches for changes.
 ///
+/// If the store states a later era, it was restored from an older copy, and all values are read again.
+///
 /// One call is in progress at a time. After an interrupted watch it resumes from the last
 /// revision seen; if the store no longer holds that revision, it reads all values again.
 /// Failed calls are retried with exponential backoff and jitter: the first time after at
@@ -50,6 +53,10 @@
     /// Makes the call of the current state, or suspends if that is a watch and watching is disabled.
     void call();
     void onReply(std::uint64_t callNumber, const StoreReply& reply);
+    /// Reads all values again if the reply shows that those known are out of date, or repeats a call whose reply is.
+    ///
+    /// @return whether the next call was made or scheduled, so that the reply is done with
+    bool checkEra(const StoreReply& reply);
     void onFailure(StoreStatus status);
     void onSheetRead(const StoreReply& reply);
     void onServersRead(const StoreReply& reply);
@@ -58,6 +65,10 @@
     Time replyMadeAfter(const StoreReply& reply) const;
     /// Resets the state so that the next call starts to read all values again.
     void restartFromFullRead();
+    /// @return a revision in the present era
+    StorePosition positionOf(StoreRevision revision) const { return { m_eras.era(), revision }; }
+    /// @return a change of a server in the present era
+    ServerChange changeOf(const ServerChange& change) const { return { change.name, change.server, positionOf(change.position.revision), change.problem }; }
     void scheduleCall(Duration delay);
     /// @return a random delay between half and all of `delay`, so that entry instances do not call in synchrony
     Duration addJitter(Duration delay) const;
@@ -74,8 +85,9 @@
     CallId m_call = 0;
     /// Number of the latest call; replies to earlier ones are ignored.
     std::uint64_t m_callNumber = 0;
-    /// Changes up to this revision are known; a watch starts after it.
+    /// Changes up to this revision of the era are known; a watch starts after it.
     StoreRevision m_revision;
+    StoreEraTracker m_eras;
     std::string m_nextPage;
     /// Backend servers read so far, while the pages are read.
     ServersPublished m_list { {}, {}, true };
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -344,12 +344,12 @@
     CHECK(list.complete);
     CHECK(list.changes.size() == 2);
     // Entries may change between the pages, so the list contains every change only up to the first page's revision.
-    CHECK(list.revision == StoreRevision { 11 });
+    CHECK(list.position == StorePosition { {}, StoreRevision { 11 } });
     REQUIRE(list.pages.size() == 2);
     CHECK(list.pages[0].last == ServerName { "a" });
-    CHECK(list.pages[0].asOf == StoreRevision { 11 });
+    CHECK(list.pages[0].asOf == StorePosition { {}, StoreRevision { 11 } });
     CHECK_FALSE(list.pages[1].last);
-    CHECK(list.pages[1].asOf == StoreRevision { 14 });
+    CHECK(list.pages[1].asOf == StorePosition { {}, StoreRevision { 14 } });
     // The watch starts at the first read's revision, so it reports changes made between the reads.
     CHECK(fixture.respond(okReply(15, { serverChange(12, "c"), sheetChange(15) })) == "watch 10");
     CHECK(fixture.count<SheetFetched>() == 2);
--- a/tests/reducer_test.cpp
+++ b/tests/reducer_test.cpp
@@ -376,7 +376,7 @@
     EffectList effects;
     const auto apply = [&](EventBody body) { reducer.apply({ now, 1, std::move(body) }, effects); };
     apply(SheetFetched { makeSheet(1, rule("idempotent")) });
-    apply(ServersPublished { {}, StoreRevision { 1 }, true });
+    apply(ServersPublished { {}, StorePosition { {}, StoreRevision { 1 } }, true });
     const auto receivePings = [&](int steps, std::uint64_t firstRevision) {
         for (int i = 0; i < steps; ++i) {
             auto ping = makeMessageOfB();
@@ -400,7 +400,7 @@
     EffectList effects;
     const auto apply = [&](EventBody body) { reducer.apply({ now, 1, std::move(body) }, effects); };
     apply(SheetFetched { makeSheet(1, rule("idempotent")) });
-    apply(ServersPublished { {}, StoreRevision { 1 }, true });
+    apply(ServersPublished { {}, StorePosition { {}, StoreRevision { 1 } }, true });
     apply(PlatformUnreachable {});
     for (const char* name : { "b", "c" }) {
         auto ping = makeMessage(name, "10.1.0.2:9000");
@@ -428,7 +428,7 @@
     server.service = ServiceName { "s" };
     server.address = { "10.0.0.1", 80 };
     server.zone = ZoneName { "z" };
-    apply(ServersPublished { { { server.name, server, StoreRevision { 1 } } }, StoreRevision { 1 }, true });
+    apply(ServersPublished { { { server.name, server, StorePosition { {}, StoreRevision { 1 } } } }, StorePosition { {}, StoreRevision { 1 } }, true });
     const auto run = [&](Millis time, bool membersInContact) {
         for (Millis done { 0 }; done < time; done += Millis { 10 }) {
             now += std::chrono::milliseconds(10);
@@ -445,7 +445,7 @@
     REQUIRE(reducer.status(now).watching);
     apply(PlatformUnreachable {});
     // The entry may only have expired in the outage, so that the server stays in use for a while after its end.
-    apply(ServersPublished { { { server.name, {}, StoreRevision { 2 } } }, StoreRevision { 2 } });
+    apply(ServersPublished { { { server.name, {}, StorePosition { {}, StoreRevision { 2 } } } }, StorePosition { {}, StoreRevision { 2 } } });
     apply(PlatformUnreachable {});
     run(Millis { 3000 }, true);
     CHECK_FALSE(reducer.status(now).watching);
--- a/tests/server_notice_test.cpp
+++ b/tests/server_notice_test.cpp
@@ -48,8 +48,8 @@
         server.zone = ZoneName { "z" };
         server.slots = Slots { SLOTS };
         server.incarnation = incarnation;
-        const StoreRevision revision { ++m_revision };
-        apply(ServersPublished { { { server.name, server, revision } }, revision });
+        const StorePosition position { {}, StoreRevision { ++m_revision } };
+        apply(ServersPublished { { { server.name, server, position } }, position });
     }
 
     void apply(EventBody body)
--- a/tests/server_registry_test.cpp
+++ b/tests/server_registry_test.cpp
@@ -32,11 +32,11 @@
     void publish(std::vector<ServerChange> changes, std::uint64_t revision, bool complete = false)
     {
         Context context(m_now, 1, m_effects);
-        m_serverRegistry.onPublished({ std::move(changes), StoreRevision { revision }, complete }, context);
+        m_serverRegistry.onPublished({ std::move(changes), StorePosition { {}, StoreRevision { revision } }, complete }, context);
     }
 
-    void upsert(const std::string& name, std::uint64_t revision, bool leaving = false) { publish({ { ServerName { name }, makeServer(name, leaving), StoreRevision { revision } } }, revision); }
-    void remove(const std::string& name, std::uint64_t revision) { publish({ { ServerName { name }, {}, StoreRevision { revision } } }, revision); }
+    void upsert(const std::string& name, std::uint64_t revision, bool leaving = false) { publish({ { ServerName { name }, makeServer(name, leaving), StorePosition { {}, StoreRevision { revision } } } }, revision); }
+    void remove(const std::string& name, std::uint64_t revision) { publish({ { ServerName { name }, {}, StorePosition { {}, StoreRevision { revision } } } }, revision); }
 
     void disconnect()
     {
@@ -102,7 +102,7 @@
     ServerRegistryFixture fixture;
     fixture.upsert("a", 1);
     fixture.upsert("b", 2);
-    fixture.publish({ { ServerName { "a" }, {}, StoreRevision { 3 } }, { ServerName { "ghost" }, {}, StoreRevision { 3 } } }, 3);
+    fixture.publish({ { ServerName { "a" }, {}, StorePosition { {}, StoreRevision { 3 } } }, { ServerName { "ghost" }, {}, StorePosition { {}, StoreRevision { 3 } } } }, 3);
     CHECK(fixture.inUse() == Names { "b" });
 }
 
@@ -155,9 +155,9 @@
     ServerRegistryFixture fixture;
     fixture.upsert("a", 1);
     fixture.upsert("b", 2);
-    fixture.publish({ { ServerName { "b" }, makeServer("b"), StoreRevision { 2 } } }, 9, true);
+    fixture.publish({ { ServerName { "b" }, makeServer("b"), StorePosition { {}, StoreRevision { 2 } } } }, 9, true);
     CHECK(fixture.inUse() == Names { "b" });
-    CHECK(fixture.registry().revision() == StoreRevision { 9 });
+    CHECK(fixture.registry().position() == StorePosition { {}, StoreRevision { 9 } });
 }
 
 TEST_CASE("The list of a member is adopted only if its revision is higher")
@@ -334,7 +334,7 @@
     std::vector<ServerChange> changes;
     for (std::uint64_t i = 1; i <= 70000; ++i) {
         server.name = ServerName { "big-" + std::to_string(i) };
-        changes.push_back({ server.name, server, StoreRevision { i } });
+        changes.push_back({ server.name, server, StorePosition { {}, StoreRevision { i } } });
     }
     fixture.publish(std::move(changes), 70000, true);
     CHECK(fixture.registry().withServers(sheet).services[0].floorSlots == Slots { std::numeric_limits<std::uint32_t>::max() });
--- a/tests/server_replication_test.cpp
+++ b/tests/server_replication_test.cpp
@@ -45,13 +45,13 @@
         server.slots = Slots { 4 };
         server.leaving = leaving;
         server.incarnation = ++m_revision;
-        m_history.push_back({ server.name, server, StoreRevision { m_revision } });
+        m_history.push_back({ server.name, server, StorePosition { {}, StoreRevision { m_revision } } });
     }
 
     void remove(std::size_t name)
     {
         if (state().contains(nameOf(name)))
-            m_history.push_back({ nameOf(name), {}, StoreRevision { ++m_revision } });
+            m_history.push_back({ nameOf(name), {}, StorePosition { {}, StoreRevision { ++m_revision } } });
     }
 
     /// Changes a value that is no server entry.
@@ -75,7 +75,7 @@
     std::vector<ServerChange> changesAfter(std::uint64_t revision) const
     {
         std::vector<ServerChange> changes;
-        std::copy_if(m_history.begin(), m_history.end(), std::back_inserter(changes), [&](const ServerChange& change) { return change.revision.value() > revision; });
+        std::copy_if(m_history.begin(), m_history.end(), std::back_inserter(changes), [&](const ServerChange& change) { return change.position.revision.value() > revision; });
         return changes;
     }
 
@@ -102,11 +102,11 @@
         m_cursor = store.revision();
         reachable(true);
         for (const ServerChange& change : changes) {
-            learned(change.name, change.revision.value());
+            learned(change.name, change.position.revision.value());
             if (change.server)
-                m_justPut[change.name] = change.revision.value();
+                m_justPut[change.name] = change.position.revision.value();
         }
-        publish({ std::move(changes), StoreRevision { store.revision() }, false });
+        publish({ std::move(changes), StorePosition { {}, StoreRevision { store.revision() } }, false });
     }
 
     /// Starts to read all entries, page by page. Other steps may come between the pages.
@@ -135,7 +135,7 @@
         m_cursor = read.cursor;
         m_firstRead = read.cursor;
         for (const ServerChange& change : read.event.changes)
-            learned(change.name, change.revision.value());
+            learned(change.name, change.position.revision.value());
         publish(read.event);
     }
 
@@ -219,7 +219,7 @@
         return inUse;
     }
 
-    StoreRevision revision() const { return m_registry->revision(); }
+    StorePosition position() const { return m_registry->position(); }
     bool hasList() const { return m_registry->hasServerList(); }
     int starts() const { return m_starts; }
 
@@ -249,8 +249,8 @@
     void endPage(bool isLast, std::uint64_t asOf)
     {
         if (m_read->event.pages.empty())
-            m_read->event.revision = StoreRevision { asOf };
-        m_read->event.pages.push_back({ isLast ? std::nullopt : m_read->after, StoreRevision { asOf } });
+            m_read->event.position = StorePosition { {}, StoreRevision { asOf } };
+        m_read->event.pages.push_back({ isLast ? std::nullopt : m_read->after, StorePosition { {}, StoreRevision { asOf } } });
     }
 
     std::unique_ptr<ServerRegistry> m_registry = std::make_unique<ServerRegistry>();
@@ -312,7 +312,7 @@
         Revisions truth;
         for (const auto& [name, change] : m_store.state()) {
             if (!change.server->leaving)
-                truth[name] = change.revision.value();
+                truth[name] = change.position.revision.value();
         }
         for (const Member& member : m_members) {
             if (member.hasList())
@@ -404,7 +404,7 @@
     {
         for (Member& to : m_members) {
             for (const Member& from : m_members) {
-                if (from.revision() > to.revision())
+                if (from.position() > to.position())
                     to.receive(*from.makeList());
             }
         }
--- a/tests/support/simulated_store_fleet.cpp
+++ b/tests/support/simulated_store_fleet.cpp
@@ -66,17 +66,17 @@
 
         void write(StoreChange change)
         {
-            change.revision = StoreRevision { ++m_revision };
+            change.revision = StoreRevision { ++m_data.revision };
             if (change.sheet)
-                m_sheet = *change.sheet;
+                m_data.sheet = *change.sheet;
             if (change.server) {
-                change.server->revision = change.revision;
+                change.server->position = { {}, change.revision };
                 if (change.server->server)
-                    m_servers[change.server->name] = *change.server;
+                    m_data.servers[change.server->name] = *change.server;
                 else
-                    m_servers.erase(change.server->name);
+                    m_data.servers.erase(change.server->name);
             }
-            m_history.push_back(std::move(change));
+            m_data.history.push_back(std::move(change));
             for (Waiting& waiting : std::exchange(m_waiting, {}))
                 answer(waiting.handler, changesAfter(waiting.after));
         }
@@ -84,21 +84,21 @@
         void readSheet(const Handler& handler)
         {
             StoreReply reply = makeReply();
-            reply.changes.push_back({ reply.revision, m_sheet, {} });
+            reply.changes.push_back({ reply.revision, m_data.sheet, {} });
             answer(handler, std::move(reply));
         }
 
         void readServers(const Handler& handler)
         {
             StoreReply reply = makeReply();
-            for (const auto& [name, change] : m_servers)
-                reply.changes.push_back({ change.revision, {}, change });
+            for (const auto& [name, change] : m_data.servers)
+                reply.changes.push_back({ change.position.revision, {}, change });
             answer(handler, std::move(reply));
         }
 
         void watch(std::size_t instance, StoreRevision after, Duration wait, const Handler& handler)
         {
-            if (after.value() < m_revision || wait <= Duration {})
+            if (after.value() != m_data.revision || wait <= Duration {})
                 return answer(handler, changesAfter(after));
             const std::uint64_t number = ++m_lastWaiting;
             m_waiting.push_back({ instance, number, after, handler });
@@ -128,10 +128,31 @@
             m_schedule.add(ANSWER_DELAY, [handler, reply = std::move(reply)] { handler(reply); });
         }
 
-        const std::string& sheet() const { return m_sheet; }
-        const std::map<ServerName, ServerChange>& servers() const { return m_servers; }
+        void setEraHeader(EraHeader header) { m_header = header; }
+        void copy() { m_copy = m_data; }
+
+        void restore()
+        {
+            m_data = m_copy;
+            ++m_era;
+            for (const Waiting& waiting : std::exchange(m_waiting, {}))
+                answer(waiting.handler, {});
+        }
+
+        /// Takes a revision for a value that the fleet does not read.
+        void writeOther() { ++m_data.revision; }
+
+        const std::string& sheet() const { return m_data.sheet; }
+        const std::map<ServerName, ServerChange>& servers() const { return m_data.servers; }
 
     private:
+        struct Data {
+            std::uint64_t revision = 0;
+            std::string sheet;
+            std::map<ServerName, ServerChange> servers;
+            std::vector<StoreChange> history;
+        };
+
         struct Waiting {
             std::size_t instance;
             std::uint64_t number;
@@ -139,26 +160,43 @@
             Handler handler;
         };
 
-        StoreReply makeReply() const
+        StoreReply makeReply()
         {
             StoreReply reply;
             reply.status = StoreStatus::Ok;
-            reply.revision = StoreRevision { m_revision };
+            reply.revision = StoreRevision { m_data.revision };
+            stateEra(reply);
             return reply;
         }
 
-        StoreReply changesAfter(StoreRevision after) const
+        void stateEra(StoreReply& reply)
+        {
+            const bool isOdd = ++m_replies % 2;
+            if (m_header == EraHeader::Correct || (m_header > EraHeader::Correct && m_header != EraHeader::Smaller && isOdd))
+                reply.era = StoreEra { m_era };
+            else if (m_header == EraHeader::OftenUnreadable)
+                reply.unreadableEra = "seven";
+            else if (m_header == EraHeader::OftenSmaller || m_header == EraHeader::Smaller)
+                reply.era = StoreEra { m_era - 1 };
+        }
+
+        StoreReply changesAfter(StoreRevision after)
         {
             StoreReply reply = makeReply();
-            std::copy_if(m_history.begin(), m_history.end(), std::back_inserter(reply.changes), [&](const StoreChange& change) { return change.revision > after; });
+            if (after > reply.revision) {
+                reply.status = StoreStatus::HistoryGone;
+                return reply;
+            }
+            std::copy_if(m_data.history.begin(), m_data.history.end(), std::back_inserter(reply.changes), [&](const StoreChange& change) { return change.revision > after; });
             return reply;
         }
 
         Schedule& m_schedule;
-        std::uint64_t m_revision = 0;
-        std::string m_sheet;
-        std::map<ServerName, ServerChange> m_servers;
-        std::vector<StoreChange> m_history;
+        Data m_data;
+        Data m_copy;
+        std::uint64_t m_era = 1;
+        EraHeader m_header = EraHeader::None;
+        std::uint64_t m_replies = 0;
         std::vector<Waiting> m_waiting;
         std::uint64_t m_lastWaiting = 0;
     };
@@ -243,6 +281,30 @@
 
     void publishSheet() { m_store.write({ {}, std::to_string(++m_version), {} }); }
 
+    Store& store() { return m_store; }
+
+    void writeAgain()
+    {
+        if (m_store.sheet() != std::to_string(m_version))
+            m_store.write({ {}, std::to_string(m_version), {} });
+        for (const auto& [name, server] : m_stated) {
+            const auto held = m_store.servers().find(name);
+            if (held == m_store.servers().end() || held->second.server != server)
+                m_store.write({ {}, {}, ServerChange { name, server, {} } });
+        }
+        const auto held = m_store.servers();
+        for (const auto& [name, change] : held) {
+            if (!m_stated.contains(name))
+                m_store.write({ {}, {}, ServerChange { name, {}, {} } });
+        }
+    }
+
+    void restartServer(const std::string& name)
+    {
+        --m_serverIncarnations.try_emplace(name, FIRST_SERVER_INCARNATION).first->second;
+        publishServer(name, false);
+    }
+
     void publishServer(const std::string& name, bool leaving)
     {
         PublishedServer server;
@@ -251,27 +313,27 @@
         server.address = { "10.2.0.1", 80 };
         server.zone = ZoneName { "z0" };
         server.leaving = leaving;
+        server.incarnation = m_serverIncarnations.try_emplace(name, FIRST_SERVER_INCARNATION).first->second;
+        m_stated[server.name] = server;
         m_store.write({ {}, {}, ServerChange { server.name, server, {} } });
     }
 
-    void removeServer(const std::string& name) { m_store.write({ {}, {}, ServerChange { ServerName { name }, {}, {} } }); }
+    void removeServer(const std::string& name)
+    {
+        m_stated.erase(ServerName { name });
+        m_store.write({ {}, {}, ServerChange { ServerName { name }, {}, {} } });
+    }
 
     bool isUpToDate(std::size_t index) const
     {
-        const Status status = m_instances[index].reducer->status(m_schedule.now());
-        std::set<std::string> used;
-        for (const ServerStatus& server : status.servers) {
-            if (server.state == "serving")
-                used.insert(server.name.value());
-        }
-        std::set<std::string> published;
-        for (const auto& [name, change] : m_store.servers()) {
-            if (!change.server->leaving)
-                published.insert(name.value());
-        }
-        return std::to_string(status.sheet.value()) == m_store.sheet() && used == published;
+        Statements published;
+        for (const auto& [name, change] : m_store.servers())
+            published.emplace(name, *change.server);
+        return uses(index, m_store.sheet(), published);
     }
 
+    bool isTruthful(std::size_t index) const { return uses(index, std::to_string(m_version), m_stated); }
+
     std::size_t aliveMembers(std::size_t index) const
     {
         const Status status = m_instances[index].reducer->status(m_schedule.now());
@@ -282,6 +344,28 @@
     std::size_t bytesBetweenZones() const { return m_bytesBetweenZones; }
 
 private:
+    using Statements = std::map<ServerName, PublishedServer>;
+
+    // Later starts have lower incarnations, since nothing promises that they are higher.
+    static constexpr std::uint64_t FIRST_SERVER_INCARNATION = 1000;
+
+    /// @return whether the instance has this sheet, and uses those servers that are not leaving
+    bool uses(std::size_t index, const std::string& sheet, const Statements& servers) const
+    {
+        const Status status = m_instances[index].reducer->status(m_schedule.now());
+        std::set<ServerName> used;
+        for (const ServerStatus& server : status.servers) {
+            if (server.state == "serving")
+                used.insert(server.name);
+        }
+        std::set<ServerName> expected;
+        for (const auto& [name, server] : servers) {
+            if (!server.leaving)
+                expected.insert(name);
+        }
+        return std::to_string(status.sheet.value()) == sheet && used == expected;
+    }
+
     struct Instance {
         StoreAccess access = StoreAccess::Served;
         bool isolated = false;
@@ -393,6 +477,9 @@
     std::size_t m_zones;
     Millis m_changeDeadline;
     std::uint64_t m_version = 0;
+    /// What each server stated last.
+    Statements m_stated;
+    std::map<std::string, std::uint64_t> m_serverIncarnations;
     std::uint64_t m_lastIncarnation = 0;
     CallId m_lastCall = 0;
     std::size_t m_calls = 0;
@@ -452,6 +539,41 @@
     m_play->removeServer(name);
 }
 
+void SimulatedStoreFleet::restartServer(const std::string& name)
+{
+    m_play->restartServer(name);
+}
+
+void SimulatedStoreFleet::setEraHeader(EraHeader header)
+{
+    m_play->store().setEraHeader(header);
+}
+
+void SimulatedStoreFleet::copyStore()
+{
+    m_play->store().copy();
+}
+
+void SimulatedStoreFleet::restoreStore()
+{
+    m_play->store().restore();
+}
+
+void SimulatedStoreFleet::writeOther()
+{
+    m_play->store().writeOther();
+}
+
+void SimulatedStoreFleet::writeAgain()
+{
+    m_play->writeAgain();
+}
+
+bool SimulatedStoreFleet::isTruthful(std::size_t instance) const
+{
+    return m_play->isTruthful(instance);
+}
+
 bool SimulatedStoreFleet::isUpToDate(std::size_t instance) const
 {
     return m_play->isUpToDate(instance);
--- a/tests/support/simulated_store_fleet.h
+++ b/tests/support/simulated_store_fleet.h
@@ -18,6 +18,21 @@
     Silent,
 };
 
+/// What the replies of the metadata store say of its era.
+enum class EraHeader : std::uint8_t {
+    /// Nothing, as a store that has no eras.
+    None,
+    Correct,
+    /// Nothing in every second reply.
+    OftenMissing,
+    /// No number in every second reply.
+    OftenUnreadable,
+    /// An era before the present one in every second reply.
+    OftenSmaller,
+    /// An era before the present one in each reply.
+    Smaller,
+};
+
 /// Entry instances (reducers, each with a `MetadataStoreWatcher`) that follow a simulated metadata store, in simulated time.
 ///
 /// Instance `i` is in availability zone `i % zones`. The names of a zone's instances sort in the order of their numbers. The same seed
@@ -45,9 +60,25 @@
     void publishSheet();
     void publishServer(const std::string& name, bool leaving);
     void removeServer(const std::string& name);
+    /// Publishes a new start of a server. Its incarnation is lower than that of the start before.
+    void restartServer(const std::string& name);
+
+    /// Sets what replies say of the era from now on. A fleet starts with `EraHeader::None`.
+    void setEraHeader(EraHeader header);
+    /// Keeps a copy of the store.
+    void copyStore();
+    /// Sets the store back to the copy: revisions are given out again, and the era rises by one. Calls that wait are cut.
+    void restoreStore();
+    /// Changes a value that is no entry of a server and no sheet.
+    void writeOther();
+    /// The operator and the servers write what the store does not hold of what they last wrote.
+    void writeAgain();
 
     /// @return whether the instance has the latest sheet and uses exactly the servers that the store publishes as not leaving
     bool isUpToDate(std::size_t instance) const;
+    /// @return whether the instance has the latest sheet ever published and uses exactly the servers whose own latest statement is
+    ///     that they are not leaving, whatever the store holds
+    bool isTruthful(std::size_t instance) const;
     /// @return the number of other instances that the instance sees as alive
     std::size_t aliveMembers(std::size_t instance) const;
     /// @return the number of calls to the store so far, rejected ones included
