--- a/src/decision/server_registry.cpp
+++ b/src/decision/server_registry.cpp
@@ -123,7 +123,8 @@
 
 bool ServerRegistry::isNews(const ServerName& name, StorePosition position) const
 {
-    return position > latestPosition(name);
+    // A record may still have a position of an earlier era, but the list of the later era holds for it.
+    return position.era >= m_position.era && position > latestPosition(name);
 }
 
 std::optional<ServerRegistry::EarlierEra> ServerRegistry::earlierEraOf(const ServerName& name, StorePosition position) const
@@ -238,7 +239,9 @@
     record.position = removal.position;
     record.removed = true;
     m_pending.insert(name);
-    m_deferred.erase(name);
+    // A removal of an earlier era may come again.
+    if (const auto deferred = m_deferred.find(name); deferred != m_deferred.end() && deferred->second.position < removal.position)
+        m_deferred.erase(deferred);
     if (!record.server)
         return false;
     if (removal.removeAt && !record.server->leaving) {
