--- a/include/cornelwind/decision.h
+++ b/include/cornelwind/decision.h
@@ -68,10 +68,12 @@
     QuotaUsedUp,
     /// No request of the workspace has been refused for a while.
     QuotaAvailable,
+    /// The platform's store was restored from an older copy.
+    StoreRestored,
 };
 
 /// Number of values of `DecisionKind`.
-inline constexpr std::size_t DECISION_KINDS = 29;
+inline constexpr std::size_t DECISION_KINDS = 30;
 
 /// @return the name used in logs, metrics and explanations
 const char* toString(DecisionKind);
