--- a/src/decision/request_flow.h
+++ b/src/decision/request_flow.h
@@ -207,6 +207,7 @@
         /// Whether any byte of it may have reached a backend server.
         bool wasSent = false;
         Fingerprint fingerprint;
+        ByteCount bodySize {};
         std::optional<ParsedKey> key;
         /// The servers tried, of which the first `triedServerCount` are set.
         std::array<ServerId, MAX_TRIED> tried;
