Count request bodies against the memory budget, and end slow transfers first

Cause: only responses counted. Bodies of requests were held without a common bound, with one more copy for each try, and callers that do not read their responses kept the memory while responses of others ended. A connection whose client never reads had no time limit.

Change: bodies count in both directions; tries share one copy. While the budget is exceeded, slow transfers end first (to callers, from callers, to servers), then the largest body that is being received; of requests the one that began last. A client that takes no byte of its response for 60 s is disconnected. The bytes of request bodies in flight at one server are bounded (limits.server_body_bytes, 8 MiB): a server beyond it counts as one without a free slot.

--- a/include/cornelwind/error.h
+++ b/include/cornelwind/error.h
@@ -40,6 +40,7 @@
     ApiKeyRejected,
     ApiKeysUnconfirmed,
     QuotaExceeded,
+    MemoryShort,
     // Errors in settings and sheet.
     FileUnreadable,
     SyntaxError,
--- a/include/cornelwind/event.h
+++ b/include/cornelwind/event.h
@@ -48,6 +48,8 @@
     RequestId request;
     /// Hash of method, target and body.
     Fingerprint fingerprint;
+    /// Size of the body.
+    ByteCount bodySize {};
 };
 
 /// The body of a request could not be read to its end. Follows the `HeadReceived` of the request.
@@ -86,7 +88,7 @@
     TooLarge,
     /// The deadline of the try passed after writing began and before the response was complete.
     TimedOut,
-    /// A `CancelTry` ended the try after writing began.
+    /// A `CancelTry` ended the try after writing began, or the server did not read the request while memory was short.
     Cancelled,
 };
 
--- a/include/cornelwind/server_pool.h
+++ b/include/cornelwind/server_pool.h
@@ -9,6 +9,7 @@
 #include "cornelwind/types.h"
 
 #include <cstdint>
+#include <limits>
 #include <memory>
 #include <optional>
 #include <span>
@@ -44,6 +45,8 @@
     bool avoided = false;
     /// Requests that this entry instance has in flight there.
     std::uint32_t inFlight = 0;
+    /// Bytes of the bodies of these requests that are larger than `ServerPool::UNLIMITED_BODY_BYTES`.
+    ByteCount bodyBytes {};
     /// Slots reserved for this entry instance.
     std::uint32_t ownSlots = 0;
     /// Earliest end of the current ejection, trial, leaving state or avoidance.
@@ -99,6 +102,8 @@
     /// Time for which the request has waited, and for which it goes on to wait if no server can take it.
     Duration waited {};
     Duration patience {};
+    /// Size of the body of the request.
+    ByteCount bodySize {};
 };
 
 /// Position of this entry instance among the live ones.
@@ -180,10 +185,21 @@
     const Server* find(ServerId id) const;
 
     /// Counts a request sent to a server at `now`.
-    void begin(Server& server, Time now = {});
+    ///
+    /// @param bodySize size of its body
+    void begin(Server& server, Time now = {}, ByteCount bodySize = {});
     /// Counts a request ended at a server, and deletes the server if it is removed and this was its last
     /// request.
-    void end(ServerId id);
+    ///
+    /// @param bodySize size given to `begin`
+    void end(ServerId id, ByteCount bodySize = {});
+
+    /// Sets how many bytes of request bodies this entry instance may have in flight at one server.
+    ///
+    /// A request that would exceed it does not go to the server, as if it had no free slot, unless no other body is in flight there.
+    /// Bodies up to `UNLIMITED_BODY_BYTES` neither count nor wait: the slots bound them, and they must not hold up a large one.
+    void setMaxBodyBytes(ByteCount bytes) { m_maxBodyBytes = bytes; }
+    static constexpr std::uint64_t UNLIMITED_BODY_BYTES = 64ULL * 1024;
 
     /// @return the servers of a service, in the order of the sheet
     std::span<Server* const> servers(std::uint32_t service) const;
@@ -224,6 +240,7 @@
     void shareSlotsInFleet(std::vector<Server*>& servers);
     bool hasReservedSlot(std::uint32_t service) const;
     bool accepts(const Server& server, const PickContext& context) const;
+    bool hasRoomForBody(const Server& server, ByteCount bodySize) const;
     std::uint32_t limit(const Server& server, Time now) const;
 
     std::unordered_map<ServerId, Server> m_servers;
@@ -240,6 +257,7 @@
     ServerLimitTable m_serverLimits;
     PeerLoadTable m_peerLoads;
     FleetPosition m_position;
+    ByteCount m_maxBodyBytes { std::numeric_limits<std::uint64_t>::max() };
 };
 
 } // namespace cornelwind
--- a/include/cornelwind/settings.h
+++ b/include/cornelwind/settings.h
@@ -67,6 +67,9 @@
     ByteCount maxHead { 16 * 1024 };
     /// Memory that the process may use.
     ByteCount memory { 512ULL * 1024 * 1024 };
+    /// Maximum number of bytes of request bodies that this entry instance has in flight at one backend server. A request beyond it
+    /// waits or goes to another server; a larger one is sent only while no other body is in flight there.
+    ByteCount serverBodyBytes { 8 * 1024 * 1024 };
     /// Maximum time to receive the head of a request, and again to receive its whole body. Each of the two timers is
     /// started once; arriving bytes do not restart it. The limits in a sheet can replace the first.
     Millis receiveTimeout { 5000 };
--- a/src/config/settings.cpp
+++ b/src/config/settings.cpp
@@ -11,6 +11,7 @@
     constexpr std::uint64_t MAX_KEYS = 1000000;
     constexpr std::uint64_t MAX_STORED_BYTES = 64ULL * 1024 * 1024;
     constexpr std::uint64_t BYTES_PER_MEGABYTE = 1024 * 1024;
+    constexpr std::uint64_t MAX_SERVER_BODY_BYTES = 1024ULL * 1024 * 1024;
     constexpr std::uint64_t MIN_MEMORY_MEGABYTES = 64;
     constexpr std::uint64_t MAX_MEMORY_MEGABYTES = 1024 * 1024;
 
@@ -87,6 +88,7 @@
             ByteCount memoryMegabytes { m_settings.memory.value() / BYTES_PER_MEGABYTE };
             reader.strong("memory_mb", memoryMegabytes, MIN_MEMORY_MEGABYTES, MAX_MEMORY_MEGABYTES);
             m_settings.memory = ByteCount { memoryMegabytes.value() * BYTES_PER_MEGABYTE };
+            reader.strong("server_body_bytes", m_settings.serverBodyBytes, 1, MAX_SERVER_BODY_BYTES);
             reader.millis("receive_ms", m_settings.receiveTimeout, 1, MAX_MILLIS);
             reader.millis("stop_ms", m_settings.shutdownTimeout, 1, MAX_MILLIS);
             reader.millis("stop_notice_ms", m_settings.stopNotice, 1, MAX_MILLIS);
--- a/src/decision/error.cpp
+++ b/src/decision/error.cpp
@@ -37,6 +37,7 @@
         ErrorInfo { ErrorKind::ApiKeyRejected, "api-key-rejected", "The request has no valid API key.", "Send one key of the workspace, in one header.", 401 },
         ErrorInfo { ErrorKind::ApiKeysUnconfirmed, "api-keys-unconfirmed", "The entry instance cannot confirm that the API keys it knows are still valid.", "Try again after the time in Retry-After; another entry instance may serve the request at once.", 503 },
         ErrorInfo { ErrorKind::QuotaExceeded, "quota-exceeded", "The workspace has used up its quota.", "Send fewer requests, or try again after the time in Retry-After.", 429 },
+        ErrorInfo { ErrorKind::MemoryShort, "memory-short", "The entry instance has too little memory for the request body at the moment.", "Send the body without pauses, or try again after the time in Retry-After.", 503 },
         ErrorInfo { ErrorKind::FileUnreadable, "file-unreadable", "The file cannot be read.", "Check the path and its permissions.", 0 },
         ErrorInfo { ErrorKind::SyntaxError, "syntax-error", "The text is not valid TOML.", "Correct the syntax at this line.", 0 },
         ErrorInfo { ErrorKind::UnknownKey, "unknown-key", "The key is not known here.", "Remove the key or correct its spelling.", 0 },
--- a/src/decision/reducer_state.cpp
+++ b/src/decision/reducer_state.cpp
@@ -55,6 +55,7 @@
     , m_serversPublishedSeparately(settings.platformForm == PlatformForm::Store)
 {
     m_flow.setRetryAllowance(settings.fleetRetryAllowance);
+    m_pool.setMaxBodyBytes(settings.serverBodyBytes);
 }
 
 void Reducer::State::apply(const Event& event, EffectList& effects)
--- a/src/decision/request_flow.cpp
+++ b/src/decision/request_flow.cpp
@@ -161,6 +161,7 @@
     if (!request || request->phase != Phase::Receiving)
         return;
     request->fingerprint = event.fingerprint;
+    request->bodySize = event.bodySize;
     request->admittedAt = context.now();
     m_timers.push({ request->deadline, request->id, TimerKind::Deadline });
     if (request->key)
@@ -176,7 +177,8 @@
         return;
     // This request did not use its key, but an earlier request with the same key may have run.
     const Outcome outcome = request->key ? Outcome::Unknown : Outcome::NotRun;
-    refuse(*request, { event.error, outcome, {} }, context);
+    const std::optional<Millis> retryAfter = event.error == ErrorKind::MemoryShort ? std::optional(RETRY_AFTER) : std::nullopt;
+    refuse(*request, { event.error, outcome, retryAfter }, context);
 }
 
 void RequestFlow::completeRequest(Request& request, const KeyResult& result, std::optional<Millis> retryAfter, Context& context)
--- a/src/decision/request_flow.h
+++ b/src/decision/request_flow.h
@@ -190,6 +190,7 @@
         /// Whether a try was the trial of a suspected server.
         bool usedAsTrial = false;
         Fingerprint fingerprint;
+        ByteCount bodySize {};
         std::optional<ParsedKey> key;
         /// The servers tried, of which the first `triedServerCount` are set.
         std::array<ServerId, MAX_TRIED> tried;
--- a/src/decision/request_flow_placement.cpp
+++ b/src/decision/request_flow_placement.cpp
@@ -88,6 +88,7 @@
     pick.waited = context.now() - request.admittedAt;
     pick.patience = queueDeadline(request, request.admittedAt) - context.now();
     pick.waiting = request.service->queue.size() + 1;
+    pick.bodySize = request.bodySize;
     pick.excluded = { request.tried.data(), request.triedServerCount };
     const bool byCost = placedByCost(request);
     pick.trialAllowed = mayRunTrial(request);
--- a/src/decision/request_flow_sends.cpp
+++ b/src/decision/request_flow_sends.cpp
@@ -29,7 +29,7 @@
     m_tries.emplace(id, request.id);
     const Time deadline = tryDeadline(request, context.now());
     recordPlaced(request, server, deadline, context);
-    m_dependencies.pool.begin(server, context.now());
+    m_dependencies.pool.begin(server, context.now(), request.bodySize);
     const bool byCost = placedByCost(request);
     if (byCost)
         countTry(*request.service, context.now());
@@ -213,7 +213,7 @@
     const ActiveTry ended = *position;
     std::move(position + 1, last, position);
     --request.activeCount;
-    m_dependencies.pool.end(ended.server);
+    m_dependencies.pool.end(ended.server, request.bodySize);
     // A response of another server at the same address says nothing of this one.
     if (!event.misdirected && event.response)
         m_dependencies.onNotice(ended.server, ended.incarnation, event.notice, context);
--- a/src/decision/server_pool.cpp
+++ b/src/decision/server_pool.cpp
@@ -3,6 +3,14 @@
 #include <algorithm>
 
 namespace cornelwind {
+namespace {
+
+    std::uint64_t limitedBytes(ByteCount bodySize)
+    {
+        return bodySize.value() > ServerPool::UNLIMITED_BODY_BYTES ? bodySize.value() : 0;
+    }
+
+} // namespace
 
 const char* toString(ServerState state)
 {
@@ -208,19 +216,21 @@
     return found == m_servers.end() ? nullptr : &found->second;
 }
 
-void ServerPool::begin(Server& server, Time now)
+void ServerPool::begin(Server& server, Time now, ByteCount bodySize)
 {
     m_serverLimits.use(server.id, now);
     server.lastSentAt = now;
     ++server.inFlight;
+    server.bodyBytes = ByteCount { server.bodyBytes.value() + limitedBytes(bodySize) };
 }
 
-void ServerPool::end(ServerId id)
+void ServerPool::end(ServerId id, ByteCount bodySize)
 {
     Server* server = find(id);
     if (!server || !server->inFlight)
         return;
     --server->inFlight;
+    server->bodyBytes = ByteCount { server->bodyBytes.value() - limitedBytes(bodySize) };
     if (server->state == ServerState::Removed && !server->inFlight)
         m_servers.erase(id);
 }
@@ -235,11 +245,17 @@
     const bool stateAllows = server.state == ServerState::Serving || (server.state == ServerState::Trial && context.trialAllowed);
     if (!stateAllows || server.avoided || server.busyUntil > context.now || server.backoffUntil > context.now)
         return false;
-    if (server.inFlight >= limit(server, context.now))
+    if (server.inFlight >= limit(server, context.now) || !hasRoomForBody(server, context.bodySize))
         return false;
     return std::find(context.excluded.begin(), context.excluded.end(), server.id) == context.excluded.end();
 }
 
+bool ServerPool::hasRoomForBody(const Server& server, ByteCount bodySize) const
+{
+    const std::uint64_t bytes = limitedBytes(bodySize);
+    return !bytes || !server.bodyBytes.value() || server.bodyBytes.value() + bytes <= m_maxBodyBytes.value();
+}
+
 std::uint32_t ServerPool::limit(const Server& server, Time now) const
 {
     if (server.state == ServerState::Trial)
--- a/src/shell/admin_handler.cpp
+++ b/src/shell/admin_handler.cpp
@@ -108,7 +108,7 @@
     exchange->readBody(MAX_BODY_BYTES);
 }
 
-void AdminHandler::onBody(const HttpExchangePtr& exchange, std::string)
+void AdminHandler::onBody(const HttpExchangePtr& exchange, SharedBody)
 {
     exchange->respond(serve(exchange->head()));
 }
--- a/src/shell/caller_handler.cpp
+++ b/src/shell/caller_handler.cpp
@@ -61,7 +61,7 @@
         exchange->respond(errorResponse(ErrorKind::NoRoute));
 }
 
-void CallerHandler::onBody(const HttpExchangePtr& exchange, std::string body)
+void CallerHandler::onBody(const HttpExchangePtr& exchange, SharedBody body)
 {
     const auto found = m_requestIds.find(exchange.get());
     if (found != m_requestIds.end()) {
@@ -69,7 +69,7 @@
         if (!request)
             return;
         request->body = std::move(body);
-        return m_sink(BodyReceived { request->id, requestFingerprint(request->head, request->body) });
+        return m_sink(BodyReceived { request->id, requestFingerprint(request->head, request->body.text()), ByteCount { request->body.size() } });
     }
     if (exchange->head().method == "GET")
         return exchange->respond(plainTextResponse(200, "ready\n"));
--- a/src/shell/caller_handler.h
+++ b/src/shell/caller_handler.h
@@ -24,7 +24,7 @@
     CallerHandler(RequestTable& requests, Tracer& tracer, HttpConventions conventions, EventSink sink);
 
     void onHead(const HttpExchangePtr& exchange) override;
-    void onBody(const HttpExchangePtr& exchange, std::string body) override;
+    void onBody(const HttpExchangePtr& exchange, SharedBody body) override;
     void onReceiveFailed(const HttpExchangePtr& exchange, ErrorKind error) override;
     void onDisconnect(const HttpExchangePtr& exchange) override;
     Response errorResponse(ErrorKind error) override;
--- a/src/shell/http_client.h
+++ b/src/shell/http_client.h
@@ -4,6 +4,7 @@
 #include "cornelwind/response.h"
 #include "cornelwind/types.h"
 #include "memory_budget.h"
+#include "shared_body.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -22,7 +23,7 @@
     std::string method = "GET";
     std::string target = "/";
     std::vector<Header> headers;
-    std::string body;
+    SharedBody body;
     /// The call ends at this time at the latest, and nothing is written after it.
     Time deadline;
     /// Header that states the time until `deadline`, in ms, at the moment at which the request is written. Empty for none.
@@ -62,12 +63,13 @@
 /// connection is closed as soon as the server sends or closes; until then it keeps `io` running.
 ///
 /// Response bodies count against a memory budget from their first byte until the response is destroyed. While it is exceeded, the
-/// call whose body has become largest ends as if the body had exceeded HttpCall::maxResponse, unless all are small. So servers that
-/// send without end cannot take the memory of the process, and calls with ordinary responses are not affected by them.
+/// budget ends calls in the order of `chooseTransferToEnd`: one whose server does not read the request as TryResult::Cancelled, one
+/// whose response has become largest as if the body had exceeded HttpCall::maxResponse. So servers that send without end or do not
+/// read cannot take the memory of the process, and calls with ordinary messages are not affected by them.
 class HttpClient {
 public:
     /// @param io runs the I/O and the handlers; must outlive the client
-    /// @param memory limits the size of all response bodies together
+    /// @param memory limits the size of all bodies together
     explicit HttpClient(boost::asio::io_context& io, MemoryBudgetPtr memory = std::make_shared<MemoryBudget>());
     ~HttpClient();
     HttpClient(const HttpClient&) = delete;
@@ -87,7 +89,7 @@
     /// @param id value returned by `start`
     void cancel(CallId id);
 
-    /// @return number of calls that ended because all response bodies together were too large
+    /// @return number of calls whose response was given up because all bodies together were too large
     std::uint64_t callsOverMemory() const;
 
     /// Closes pooled connections whose idle time has expired. Call it periodically, because the pool runs no timer.
--- a/src/shell/http_client_exchange.cpp
+++ b/src/shell/http_client_exchange.cpp
@@ -2,6 +2,7 @@
 
 #include "log.h"
 #include "request_head.h"
+#include "sent_bytes.h"
 
 #include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
@@ -23,27 +24,9 @@
     constexpr std::size_t CHUNKED_SIZE_FACTOR = 2;
     // Interim responses, and late responses to earlier requests, before the expected response.
     constexpr int MAX_SKIPPED_RESPONSES = 8;
-    // A body of this size is never the reason why memory is short.
-    constexpr std::size_t SMALL_BODY_BYTES = 64 * 1024;
 
 } // namespace
 
-void HttpClient::Shared::enforceMemoryBudget()
-{
-    while (memory->isExceeded()) {
-        std::shared_ptr<Exchange> largest;
-        for (const auto& [id, weak] : running) {
-            auto exchange = weak.lock();
-            if (exchange && (!largest || exchange->bodySize() > largest->bodySize()))
-                largest = std::move(exchange);
-        }
-        if (!largest || largest->bodySize() <= SMALL_BODY_BYTES)
-            return;
-        ++callsOverMemory;
-        largest->endTooLarge();
-    }
-}
-
 HttpClient::Exchange::Exchange(asio::io_context& io, std::shared_ptr<Shared> shared, CallId id, HttpCall call, CallHandler handler)
     : m_socket(io)
     , m_timer(io)
@@ -52,8 +35,32 @@
     , m_id(id)
     , m_call(std::move(call))
     , m_handler(std::move(handler))
-    , m_memory(m_shared->memory)
+    , m_memory(m_shared->memory, MemoryKind::Response)
+{
+    m_shared->memory->add(this);
+    m_call.body.beginCall();
+}
+
+std::optional<MemoryStake> HttpClient::Exchange::memoryStake(Time now)
 {
+    if (m_done)
+        return std::nullopt;
+    if (!m_writing)
+        return MemoryStake { Transfer::FromServer, m_memory.bytes(), {}, {} };
+    if (m_call.body.size() > SMALL_BODY_BYTES)
+        m_writeProgress.advance(acknowledgedBytes(m_socket.native_handle(), m_written), now);
+    return MemoryStake { Transfer::ToServer, m_call.body.size(), m_writeProgress.slowSince(), m_writeProgress.stalledSince() };
+}
+
+// A server may have read a request of which only a part was written, so the call then counts as cancelled and not as not sent.
+void HttpClient::Exchange::endTransfer()
+{
+    if (m_writing) {
+        finish(TryResult::Cancelled);
+        return m_call.body.stopCounting();
+    }
+    ++m_shared->callsOverMemory;
+    finish(tooLargeResult());
 }
 
 void HttpClient::Exchange::start()
@@ -108,15 +115,25 @@
         return finish(TryResult::NotSent);
     m_sentAny = true;
     m_head = serializeHead(m_call, now);
-    const std::array<asio::const_buffer, 2> buffers { asio::buffer(m_head), asio::buffer(m_call.body) };
-    asio::async_write(m_socket, buffers, [self = shared_from_this()](ErrorCode error, std::size_t written) {
-        self->m_sentAll = !error;
-        // A server may respond and close before it has read the whole request.
-        if (!error || written)
-            return self->readHead();
-        self->m_sentAny = false;
-        self->finish(TryResult::NotSent);
-    });
+    m_writing = true;
+    m_writeProgress.start(now);
+    const auto progress = [self = shared_from_this()](ErrorCode error, std::size_t written) {
+        self->m_written = written;
+        return asio::transfer_all()(error, written);
+    };
+    const std::array<asio::const_buffer, 2> buffers { asio::buffer(m_head), asio::buffer(m_call.body.text()) };
+    asio::async_write(m_socket, buffers, progress, [self = shared_from_this()](ErrorCode error, std::size_t written) { self->onWritten(error, written); });
+}
+
+void HttpClient::Exchange::onWritten(ErrorCode error, std::size_t written)
+{
+    m_writing = false;
+    m_sentAll = !error;
+    // A server may respond and close before it has read the whole request.
+    if (!error || written)
+        return readHead();
+    m_sentAny = false;
+    finish(TryResult::NotSent);
 }
 
 void HttpClient::Exchange::readHead()
@@ -160,7 +177,8 @@
         if (error)
             return self->finish(self->resultOf(error));
         self->m_memory.set(self->m_parser->get().body().size());
-        self->m_shared->enforceMemoryBudget();
+        if (self->m_shared->memory->isExceeded())
+            self->m_shared->memory->enforce(steadyNow());
         if (self->m_done)
             return;
         if (self->m_bodyBytes > CHUNKED_SIZE_FACTOR * self->m_call.maxResponse + MAX_RESPONSE_HEAD_BYTES)
@@ -233,6 +251,8 @@
     m_timer.cancel();
     m_connectTimer.cancel();
     m_shared->running.erase(m_id);
+    m_shared->memory->remove(this);
+    m_call.body.endCall();
     m_memory.set(0);
     if (m_reusable)
         m_shared->idle.release(m_call.address, std::move(m_socket), m_idleTime);
--- a/src/shell/http_client_exchange.h
+++ b/src/shell/http_client_exchange.h
@@ -26,9 +26,6 @@
     {
     }
 
-    /// Ends the call with the largest body until memory suffices or all bodies are small.
-    void enforceMemoryBudget();
-
     MemoryBudgetPtr memory;
     ConnectionPool idle;
     std::unordered_map<CallId, std::weak_ptr<Exchange>> running;
@@ -36,17 +33,19 @@
 };
 
 /// A running call, from connecting to the complete response.
-class HttpClient::Exchange : public std::enable_shared_from_this<Exchange> {
+class HttpClient::Exchange final : public MemoryHolder, public std::enable_shared_from_this<Exchange> {
 public:
     Exchange(boost::asio::io_context& io, std::shared_ptr<Shared> shared, CallId id, HttpCall call, CallHandler handler);
 
+    ~Exchange() override { m_shared->memory->remove(this); }
+    Exchange(const Exchange&) = delete;
+    Exchange& operator=(const Exchange&) = delete;
+
     void start();
     void cancel() { finish(m_sentAny ? TryResult::Cancelled : TryResult::NotSent); }
 
-    /// @return size of the body received so far, in bytes
-    std::size_t bodySize() const { return m_memory.bytes(); }
-    /// Ends the call because its body has become too large.
-    void endTooLarge() { finish(tooLargeResult()); }
+    std::optional<MemoryStake> memoryStake(Time now) override;
+    void endTransfer() override;
 
 private:
     using ErrorCode = boost::system::error_code;
@@ -55,7 +54,7 @@
     /// A complete response with the memory that it holds.
     struct HeldResponse {
         explicit HeldResponse(MemoryBudgetPtr budget)
-            : memory(std::move(budget))
+            : memory(std::move(budget), MemoryKind::Response)
         {
         }
 
@@ -68,6 +67,7 @@
 
     void connect();
     void write();
+    void onWritten(ErrorCode error, std::size_t written);
     void readHead();
     void beginBody();
     void readBody();
@@ -98,11 +98,15 @@
     ResponsePtr m_response;
     /// Memory of the body while it is received.
     MemoryCharge m_memory;
+    /// Progress of the request while `m_writing`.
+    ProgressMeter m_writeProgress;
+    std::size_t m_written = 0;
     Duration m_idleTime {};
     /// Bytes received since the head of the response.
     std::size_t m_bodyBytes = 0;
     int m_skippedResponses = 0;
     bool m_connected = false;
+    bool m_writing = false;
     bool m_sentAll = false;
     bool m_reused = false;
     bool m_sentAny = false;
--- a/src/shell/http_connection.cpp
+++ b/src/shell/http_connection.cpp
@@ -1,7 +1,9 @@
 #include "http_connection.h"
 
 #include "http_client.h"
+#include "sent_bytes.h"
 
+#include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/read.hpp>
 
@@ -70,7 +72,15 @@
     const bool keepAlive = bodyRead && m_keepAlive && !m_closeAfterResponse && !m_listener->draining;
     m_response = serializeResponse(response, m_head.method != "HEAD", keepAlive);
     m_responseMemory.set(m_response.size());
-    asio::async_write(m_socket, asio::buffer(m_response), [self = shared_from_this(), keepAlive](ErrorCode error, std::size_t) {
+    m_responseBytesWritten = 0;
+    m_responseBytesTaken = 0;
+    m_progress.start(steadyNow());
+    startTimer(m_listener->limits.responseStallTimeout, &Connection::checkResponseStall);
+    const auto progress = [self = shared_from_this()](ErrorCode error, std::size_t written) {
+        self->m_responseBytesWritten = written;
+        return asio::transfer_all()(error, written);
+    };
+    asio::async_write(m_socket, asio::buffer(m_response), progress, [self = shared_from_this(), keepAlive](ErrorCode error, std::size_t) {
         self->m_response = {};
         self->m_responseMemory.set(0);
         if (error || !keepAlive)
@@ -79,6 +89,36 @@
     });
 }
 
+void HttpServer::Connection::checkResponseStall()
+{
+    if (m_phase != Phase::Responding)
+        return;
+    const std::size_t taken = acknowledgedBytes(m_socket.native_handle(), m_responseBytesWritten);
+    if (taken == m_responseBytesTaken)
+        return resetNow();
+    m_responseBytesTaken = taken;
+    startTimer(m_listener->limits.responseStallTimeout, &Connection::checkResponseStall);
+}
+
+std::optional<MemoryStake> HttpServer::Connection::memoryStake(Time now)
+{
+    if (m_phase == Phase::Responding) {
+        if (m_responseMemory.bytes() > SMALL_BODY_BYTES)
+            m_progress.advance(acknowledgedBytes(m_socket.native_handle(), m_responseBytesWritten), now);
+        return MemoryStake { Transfer::ToCaller, m_responseMemory.bytes(), m_progress.slowSince(), m_progress.stalledSince() };
+    }
+    if (m_phase == Phase::Processing && m_receivingBody)
+        return MemoryStake { Transfer::FromCaller, m_bodyMemory.bytes(), m_progress.slowSince(), m_progress.stalledSince(), m_progress.startedAt() };
+    return std::nullopt;
+}
+
+void HttpServer::Connection::endTransfer()
+{
+    if (m_phase == Phase::Responding)
+        return resetNow();
+    rejectBody(ErrorKind::MemoryShort);
+}
+
 void HttpServer::Connection::awaitRequest()
 {
     m_phase = Phase::Idle;
@@ -135,6 +175,7 @@
 void HttpServer::Connection::rejectBody(ErrorKind error)
 {
     m_closeAfterResponse = true;
+    dropBody();
     m_listener->handler.onReceiveFailed(shared_from_this(), error);
 }
 
@@ -149,22 +190,61 @@
 void HttpServer::Connection::receiveBody()
 {
     startTimer(m_listener->limits.receiveTimeout, &Connection::onBodyTimeout);
-    http::async_read(m_socket, m_buffer, *m_parser, [self = shared_from_this()](ErrorCode error, std::size_t) { self->onBodyRead(error); });
+    m_receivingBody = true;
+    m_progress.start(steadyNow());
+    // Reads as much at a time as a read of the whole body does.
+    m_parser->eager(true);
+    if (!m_parser->is_done())
+        return readSomeBody();
+    asio::post(m_socket.get_executor(), [self = shared_from_this()] { self->onBodyRead({}); });
+}
+
+void HttpServer::Connection::readSomeBody()
+{
+    http::async_read_some(m_socket, m_buffer, *m_parser, [self = shared_from_this()](ErrorCode error, std::size_t) { self->onSomeBodyRead(error); });
+}
+
+void HttpServer::Connection::onSomeBodyRead(ErrorCode error)
+{
+    if (m_phase != Phase::Processing || m_closeAfterResponse)
+        return dropBody();
+    if (error || m_parser->is_done())
+        return onBodyRead(error);
+    const std::size_t size = m_parser->get().body().size();
+    m_bodyMemory.set(size);
+    m_progress.advance(size, steadyNow());
+    if (m_listener->memory->isExceeded())
+        m_listener->memory->enforce(steadyNow());
+    if (m_phase == Phase::Processing && !m_closeAfterResponse)
+        return readSomeBody();
+    dropBody();
+}
+
+// Frees the part of a body that was received. A read in progress may still append one block, which is dropped when it ends.
+void HttpServer::Connection::dropBody()
+{
+    m_receivingBody = false;
+    m_bodyMemory.set(0);
+    if (m_parser)
+        std::string().swap(m_parser->get().body());
 }
 
 void HttpServer::Connection::onBodyRead(ErrorCode error)
 {
     if (m_phase != Phase::Processing || m_closeAfterResponse)
-        return;
+        return dropBody();
+    m_receivingBody = false;
     stopTimer();
     if (isConnectionError(error)) {
+        dropBody();
         m_closeAfterResponse = true;
         return m_listener->handler.onDisconnect(shared_from_this());
     }
     if (error)
         return rejectBody(errorKindOf(error));
     watchForDisconnect();
-    m_listener->handler.onBody(shared_from_this(), std::move(m_parser->get().body()));
+    m_bodyMemory.set(0);
+    m_listener->handler.onBody(shared_from_this(), SharedBody(std::move(m_parser->get().body()), m_listener->memory));
 }
 
 // Detects a client that disconnects while its request is in progress.
@@ -224,6 +304,15 @@
     });
 }
 
+// Discards what the kernel still holds of the response, which it would otherwise keep for a client that does not read.
+void HttpServer::Connection::resetNow()
+{
+    ErrorCode ignored;
+    m_socket.set_option(asio::socket_base::linger(true, 0), ignored);
+    m_responseMemory.set(0);
+    closeNow();
+}
+
 void HttpServer::Connection::closeNow()
 {
     m_phase = Phase::Closed;
--- a/src/shell/http_connection.h
+++ b/src/shell/http_connection.h
@@ -46,18 +46,24 @@
 };
 
 /// A client connection, whose requests are handled one after the other.
-class HttpServer::Connection final : public HttpExchange, public std::enable_shared_from_this<Connection> {
+class HttpServer::Connection final : public HttpExchange, public MemoryHolder, public std::enable_shared_from_this<Connection> {
 public:
     Connection(boost::asio::ip::tcp::socket socket, std::shared_ptr<Listener> listener)
         : m_socket(std::move(socket))
         , m_timer(m_socket.get_executor())
         , m_listener(std::move(listener))
-        , m_responseMemory(m_listener->memory)
+        , m_bodyMemory(m_listener->memory, MemoryKind::ReceivingRequest)
+        , m_responseMemory(m_listener->memory, MemoryKind::WritingResponse)
     {
         m_listener->connections.insert(this);
+        m_listener->memory->add(this);
     }
 
-    ~Connection() override { m_listener->connections.erase(this); }
+    ~Connection() override
+    {
+        m_listener->memory->remove(this);
+        m_listener->connections.erase(this);
+    }
     Connection(const Connection&) = delete;
     Connection& operator=(const Connection&) = delete;
 
@@ -71,6 +77,8 @@
 
     void readBody(std::size_t limit) override;
     void respond(const Response& response) override;
+    std::optional<MemoryStake> memoryStake(Time now) override;
+    void endTransfer() override;
 
 private:
     enum class Phase {
@@ -92,8 +100,14 @@
     void rejectBody(ErrorKind error);
     void sendContinue();
     void receiveBody();
+    void readSomeBody();
+    void onSomeBodyRead(boost::system::error_code error);
+    void dropBody();
     void onBodyTimeout() { rejectBody(ErrorKind::SlowSender); }
 
+    void checkResponseStall();
+    void resetNow();
+
     void onBodyRead(boost::system::error_code error);
     void watchForDisconnect();
     void startTimer(Millis time, void (Connection::*onExpired)());
@@ -109,10 +123,17 @@
     std::optional<RequestParser> m_parser;
     HttpHead m_head;
     std::string m_response;
+    MemoryCharge m_bodyMemory;
     MemoryCharge m_responseMemory;
+    /// Progress of the body while it is received, then of the response.
+    ProgressMeter m_progress;
+    std::size_t m_responseBytesWritten = 0;
+    /// Bytes of the response that the client had taken at the last check for a stall.
+    std::size_t m_responseBytesTaken = 0;
     std::array<char, 4096> m_discarded {};
     Phase m_phase = Phase::Idle;
     std::uint64_t m_timerGeneration = 0;
+    bool m_receivingBody = false;
     bool m_keepAlive = true;
     bool m_closeAfterResponse = false;
     bool m_watchingDisconnect = false;
--- a/src/shell/http_server.h
+++ b/src/shell/http_server.h
@@ -5,6 +5,7 @@
 #include "cornelwind/response.h"
 #include "cornelwind/types.h"
 #include "memory_budget.h"
+#include "shared_body.h"
 
 #include <boost/asio/io_context.hpp>
 
@@ -54,7 +55,7 @@
     /// The head was read. The handler calls readBody or respond, now or later.
     virtual void onHead(const HttpExchangePtr& exchange) = 0;
     /// The body was read after readBody.
-    virtual void onBody(const HttpExchangePtr& exchange, std::string body) = 0;
+    virtual void onBody(const HttpExchangePtr& exchange, SharedBody body) = 0;
     /// The body could not be read. A response may still be sent.
     virtual void onReceiveFailed(const HttpExchangePtr& exchange, ErrorKind error) = 0;
     /// The client closed its connection before the response.
@@ -75,6 +76,10 @@
     Millis receiveTimeout { 5000 };
     /// Maximum time that a connection may stay open without a request.
     Millis idleTimeout { 60000 };
+    /// A client that takes no byte of its response in a whole period of this length is disconnected. The period is as long as a
+    /// connection may stay idle by default: a client that reads at all takes some bytes in it, and one that does not must not hold
+    /// a connection, of which there are few, for ever.
+    Millis responseStallTimeout { 60000 };
 };
 
 /// Asynchronous HTTP/1.1 server. Requests on one connection are handled one after the other.
@@ -83,7 +88,7 @@
     /// @param io runs the I/O; must outlive the server
     /// @param handler receives the requests; must outlive the server
     /// @param limits initial limits; `setLimits` replaces some of them
-    /// @param memory counts the responses that are being written
+    /// @param memory counts the bodies that are being received and the responses that are being written, and ends slow transfers
     HttpServer(boost::asio::io_context& io, HttpHandler& handler, HttpLimits limits, MemoryBudgetPtr memory);
     ~HttpServer();
     HttpServer(const HttpServer&) = delete;
--- a/src/shell/instance.cpp
+++ b/src/shell/instance.cpp
@@ -16,8 +16,8 @@
     constexpr Duration CLOSE_TIMEOUT = std::chrono::seconds(2);
     constexpr std::size_t MAX_EXPLAINED_DECISIONS = 50;
     constexpr std::uint32_t ADMIN_CONNECTIONS = 32;
-    // Responses may take this part of the memory of the process. A response that grows or is passed on exists twice for a moment.
-    constexpr std::uint64_t RESPONSE_MEMORY_PART = 4;
+    // Bodies may take this part of the memory of the process. A response that grows or is passed on exists twice for a moment.
+    constexpr std::uint64_t BODY_MEMORY_PART = 4;
 
     Reducer makeReducer(const Settings& settings, const SheetReader& reader)
     {
@@ -72,13 +72,13 @@
     , m_closeTimer(m_io)
     , m_signals(m_io, SIGTERM, SIGINT, SIGHUP)
     , m_reducer(makeReducer(m_settings, m_adapter.sheetReader))
-    , m_memory(std::make_shared<MemoryBudget>(static_cast<std::size_t>(m_settings.memory.value() / RESPONSE_MEMORY_PART)))
+    , m_memory(std::make_shared<MemoryBudget>(static_cast<std::size_t>(m_settings.memory.value() / BODY_MEMORY_PART)))
     , m_client(m_io, m_memory)
     , m_tracer(m_client, m_settings.traceCollector, m_settings.name.value())
     , m_callerHandler(m_requests, m_tracer, m_adapter.conventions, [this](EventBody body) { apply(std::move(body)); })
     , m_backendClient(m_requests, m_client, m_tracer, m_adapter.conventions, [this](EventBody body) { apply(std::move(body)); })
     , m_peerMessenger(
-          m_io, m_requests, m_tracer, m_settings, [this](EventBody body) { apply(std::move(body)); },
+          m_io, m_requests, m_tracer, m_settings, m_memory, [this](EventBody body) { apply(std::move(body)); },
           [this](peer::Envelope& message) { m_reducer.setSender(message); })
     , m_adminHandler(adminOperations())
     , m_callerServer(m_io, m_callerHandler, httpLimitsOf(m_settings, m_settings.maxConnections), m_memory)
@@ -263,6 +263,7 @@
             tick();
     });
     apply(Tick {});
+    m_memory->tick(steadyNow());
     maintain();
     flushLog();
 }
@@ -326,7 +327,11 @@
     ioStats.controlBytesSent = m_peerMessenger.controlBytes();
     ioStats.platformCalls = m_platform ? m_platform->calls() : 0;
     ioStats.spansDropped = m_tracer.dropped();
-    ioStats.responseBytes = m_memory->used();
+    ioStats.responseBytes = m_memory->used(MemoryKind::Response) + m_memory->used(MemoryKind::WritingResponse);
+    for (std::size_t i = 0; i < MEMORY_KINDS; ++i)
+        ioStats.bodyBytes.at(i) = m_memory->used(static_cast<MemoryKind>(i));
+    for (std::size_t i = 0; i < TRANSFERS; ++i)
+        ioStats.endedForMemory.at(i) = m_memory->ended(static_cast<Transfer>(i));
     ioStats.responsesOverMemory = m_client.callsOverMemory();
     ioStats.logLinesDropped = droppedLogLines();
     return ioStats;
--- a/src/shell/metrics.cpp
+++ b/src/shell/metrics.cpp
@@ -132,6 +132,24 @@
         }
     }
 
+    void addMemory(MetricFamilies& families, const IoStats& stats)
+    {
+        MetricFamily& bytes = families.family("cornelwind_body_bytes", "Bytes of request and response bodies held in memory, by kind.", MetricType::Gauge);
+        for (std::size_t i = 0; i < MEMORY_KINDS; ++i) {
+            ClientMetric metric;
+            metric.label = { { "kind", toString(static_cast<MemoryKind>(i)) } };
+            metric.gauge.value = static_cast<double>(stats.bodyBytes.at(i));
+            bytes.metric.push_back(metric);
+        }
+        MetricFamily& ended = families.family("cornelwind_ended_for_memory_total", "Transfers of bodies ended because all bodies together took too much memory, by direction.", MetricType::Counter);
+        for (std::size_t i = 0; i < TRANSFERS; ++i) {
+            ClientMetric metric;
+            metric.label = { { "transfer", toString(static_cast<Transfer>(i)) } };
+            metric.counter.value = static_cast<double>(stats.endedForMemory.at(i));
+            ended.metric.push_back(metric);
+        }
+    }
+
 } // namespace
 
 std::string renderMetrics(const Status& status, const Counters& counters, const IoStats& stats, std::vector<prometheus::MetricFamily> requests)
@@ -146,7 +164,8 @@
     families.counter("cornelwind_platform_calls_total", "Calls made to the platform.", stats.platformCalls);
     families.counter("cornelwind_spans_dropped_total", "Trace spans dropped without export.", stats.spansDropped);
     families.gauge("cornelwind_response_bytes", "Bytes of responses held in memory.", static_cast<double>(stats.responseBytes));
-    families.counter("cornelwind_responses_over_memory_total", "Responses of backend servers given up because all responses together took too much memory.", stats.responsesOverMemory);
+    families.counter("cornelwind_responses_over_memory_total", "Responses of backend servers given up because all bodies together took too much memory.", stats.responsesOverMemory);
+    addMemory(families, stats);
     MetricFamily& decisions = families.family("cornelwind_decisions_total", "Decisions made, by kind.", MetricType::Counter);
     for (std::size_t i = 0; i < stats.decisions.size(); ++i) {
         ClientMetric metric;
--- a/src/shell/metrics.h
+++ b/src/shell/metrics.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "cornelwind/reducer.h"
+#include "memory_budget.h"
 
 #include <prometheus/metric_family.h>
 
@@ -25,6 +26,10 @@
     std::uint64_t responseBytes = 0;
     /// Responses given up because all together took too much memory.
     std::uint64_t responsesOverMemory = 0;
+    /// Bytes of bodies that are held in memory, indexed by `MemoryKind`.
+    std::array<std::uint64_t, MEMORY_KINDS> bodyBytes {};
+    /// Transfers ended because all bodies together took too much memory, indexed by `Transfer`.
+    std::array<std::uint64_t, TRANSFERS> endedForMemory {};
     std::uint64_t logLinesDropped = 0;
     /// Number of decisions, indexed by `DecisionKind`.
     std::array<std::uint64_t, DECISION_KINDS> decisions {};
--- a/src/shell/peer_messenger.cpp
+++ b/src/shell/peer_messenger.cpp
@@ -7,10 +7,11 @@
 
 namespace cornelwind {
 
-PeerMessenger::PeerMessenger(boost::asio::io_context& io, RequestTable& requests, Tracer& tracer, const Settings& settings, EventSink sink, SenderSetter setSender)
+PeerMessenger::PeerMessenger(boost::asio::io_context& io, RequestTable& requests, Tracer& tracer, const Settings& settings, MemoryBudgetPtr memory, EventSink sink, SenderSetter setSender)
     : m_requests(requests)
     , m_tracer(tracer)
     , m_maxConnections(settings.maxConnections)
+    , m_memory(std::move(memory))
     , m_sink(std::move(sink))
     , m_setSender(std::move(setSender))
     , m_transport(io, [this](const std::shared_ptr<const peer::Envelope>& message) { onMessage(message); })
@@ -45,7 +46,7 @@
     }
     add("traceparent", request.span.context.header());
     add(m_conventions.deadlineHeader, std::to_string(effect.remaining.count()));
-    forward.set_body(request.body);
+    forward.set_body(request.body.text());
     forward.set_workspace(effect.workspace.name.value());
     m_setSender(message);
     m_transport.send(effect.address, message);
@@ -89,7 +90,7 @@
     request.head.target = forward.target();
     for (const auto& header : forward.headers())
         request.head.headers.push_back({ header.name(), header.value() });
-    request.body = forward.body();
+    request.body = SharedBody(forward.body(), m_memory);
     request.workspace = forward.workspace();
     const std::string* parent = request.head.find("traceparent");
     request.span = m_tracer.start("owner", parent ? parseTraceparent(*parent) : std::nullopt);
@@ -100,7 +101,10 @@
 {
     if (request.body.size() > effect.limit.value())
         return m_sink(ReceiveFailed { request.id, ErrorKind::BodyTooLarge });
-    m_sink(BodyReceived { request.id, requestFingerprint(request.head, request.body) });
+    // The budget cannot end what has arrived whole, so a forwarded request is refused here.
+    if (request.body.size() > SMALL_BODY_BYTES && m_memory->isExceeded())
+        return m_sink(ReceiveFailed { request.id, ErrorKind::MemoryShort });
+    m_sink(BodyReceived { request.id, requestFingerprint(request.head, request.body.text()), ByteCount { request.body.size() } });
 }
 
 void PeerMessenger::onForwardReply(const peer::ForwardReply& reply)
--- a/src/shell/peer_messenger.h
+++ b/src/shell/peer_messenger.h
@@ -27,9 +27,10 @@
     /// @param requests requests in progress; must outlive the messenger
     /// @param tracer starts the spans of forwarded requests; must outlive the messenger
     /// @param settings routes to peers and limits
+    /// @param memory counts the bodies of forwarded requests
     /// @param sink receives the events
     /// @param setSender called for each message that this class creates
-    PeerMessenger(boost::asio::io_context& io, RequestTable& requests, Tracer& tracer, const Settings& settings, EventSink sink, SenderSetter setSender);
+    PeerMessenger(boost::asio::io_context& io, RequestTable& requests, Tracer& tracer, const Settings& settings, MemoryBudgetPtr memory, EventSink sink, SenderSetter setSender);
 
     /// @copydoc PeerTransport::listen
     bool listen(const Endpoint& address, Reason& reason) { return m_transport.listen(address, reason); }
@@ -63,6 +64,7 @@
     Tracer& m_tracer;
     std::map<std::string, Endpoint> m_routes;
     std::uint32_t m_maxConnections;
+    MemoryBudgetPtr m_memory;
     EventSink m_sink;
     SenderSetter m_setSender;
     PeerTransport m_transport;
--- a/src/shell/request_table.h
+++ b/src/shell/request_table.h
@@ -30,7 +30,7 @@
 struct ActiveRequest {
     RequestId id;
     HttpHead head;
-    std::string body;
+    SharedBody body;
     HttpExchangePtr exchange;
     std::optional<PeerOrigin> origin;
     /// Workspace that the peer found which forwarded the request; empty if there is none.
