Shut out no start of a member because of a late report of the one before

Cause: a report of a new start, followed by a late report of the start before, marked the new one as past, although nothing had been heard of it directly. All its messages were ignored from then on. Change: a report marks a start as past only if that was heard directly; a direct message does so always.

--- a/src/decision/member_table.cpp
+++ b/src/decision/member_table.cpp
@@ -82,8 +82,11 @@
     if (isPastIncarnation(member, incarnation))
         return nullptr;
     member.name = name;
-    if (member.incarnation != incarnation)
+    if (member.incarnation != incarnation) {
+        markPast(member);
         beginIncarnation(member, incarnation);
+    }
+    member.wasHeard = true;
     member.zone = ZoneName { sender.zone() };
     member.address = *address;
     member.lastHeard = context.now();
@@ -96,14 +99,19 @@
     return &member;
 }
 
+void MemberTable::markPast(MemberRecord& member)
+{
+    if (!member.incarnation.value())
+        return;
+    member.pastIncarnations.push_back(member.incarnation);
+    if (member.pastIncarnations.size() > MAX_PAST_INCARNATIONS)
+        member.pastIncarnations.pop_front();
+}
+
 void MemberTable::beginIncarnation(MemberRecord& member, Incarnation incarnation)
 {
-    if (member.incarnation.value()) {
-        member.pastIncarnations.push_back(member.incarnation);
-        if (member.pastIncarnations.size() > MAX_PAST_INCARNATIONS)
-            member.pastIncarnations.pop_front();
-    }
     member.incarnation = incarnation;
+    member.wasHeard = false;
     member.refutation = 0;
     member.state = MemberState::Listed;
 }
@@ -133,6 +141,9 @@
         const bool heardRecently = member.incarnation.value() && context.now() - member.lastHeard < RECENT_CONTACT;
         if (heardRecently || state == MemberState::Dead)
             return;
+        // Reports of different starts arrive in any order. One that is known from a report only may be the present one.
+        if (member.wasHeard)
+            markPast(member);
         beginIncarnation(member, incarnation);
         member.address = *address;
         member.zone = ZoneName { update.zone() };
--- a/src/decision/member_table.h
+++ b/src/decision/member_table.h
@@ -43,6 +43,8 @@
     /// @return time since the platform last answered it, if it has had no answer since the report
     Duration platformAgeNow(Time now) const { return platformAge + (now - platformAgeAt); }
 
+    /// Whether a message of the current incarnation has arrived; otherwise it is known from reports only.
+    bool wasHeard = false;
     /// Earlier incarnations, oldest first. Messages that name one of them are ignored.
     std::deque<Incarnation> pastIncarnations;
     /// Number of messages that still have to carry the latest state change.
@@ -126,7 +128,9 @@
 private:
     /// Sets the state; if it changes, reports the change and schedules its transmissions.
     void setState(MemberRecord& member, MemberState state, const char* why, Context& context);
-    /// Resets a record for a new incarnation and remembers the previous one as past.
+    /// Remembers the incarnation of a record as past, so that its messages are ignored.
+    static void markPast(MemberRecord& member);
+    /// Resets a record for another incarnation.
     void beginIncarnation(MemberRecord& member, Incarnation incarnation);
     /// Raises the own refutation number if the update suspects this entry instance or declares it dead.
     void refute(const peer::Member& update);
