Say system where the host of an instance is suspended

Cause: machine is the word of the users' platform for an instance, and is used in the adapter only. Change: names and texts; no logic. Result: no behaviour changes.

--- a/include/cornelwind/event.h
+++ b/include/cornelwind/event.h
@@ -160,8 +160,8 @@
     Duration held {};
 };
 
-/// The machine was suspended. The clock of `Event::at` did not count that time.
-struct MachineSuspended {
+/// The system was suspended. The clock of `Event::at` did not count that time.
+struct SystemSuspended {
     Duration time {};
 };
 
@@ -211,7 +211,7 @@
 };
 
 using EventBody = std::variant<HeadReceived, BodyReceived, ReceiveFailed, CallerDisconnected, KeysRequested, TryFinished, OwnerReplied,
-    PeerMessageReceived, SheetFetched, InstancesListed, ServersListed, ServersPublished, PlatformReachable, SheetConfirmed, MachineSuspended, PlatformUnreachable, SettingsChanged, ProbeFinished, StopRequested, Tick>;
+    PeerMessageReceived, SheetFetched, InstancesListed, ServersListed, ServersPublished, PlatformReachable, SheetConfirmed, SystemSuspended, PlatformUnreachable, SettingsChanged, ProbeFinished, StopRequested, Tick>;
 
 /// An input of the reducer.
 struct Event {
--- a/src/decision/gossip.h
+++ b/src/decision/gossip.h
@@ -93,7 +93,7 @@
     void confirmSheet(Time calledAt, Duration held, Time now) { m_confirmation.confirm(calledAt, held, now); }
     /// @return up to when the sheet here is known to be the latest
     const ConfigurationConfirmation& confirmation() const { return m_confirmation; }
-    /// Counts a time in which the machine was suspended toward the age of the confirmation, and of calls and pings under way.
+    /// Counts a time in which the system was suspended toward the age of the confirmation, and of calls and pings under way.
     void onSuspended(Duration time, Time now) { m_confirmation.onSuspended(time, now); }
     /// @return whether the start is complete: each entry instance that the platform lists has been heard of, or
     ///     the platform is always current, or the time to wait for them is over
--- a/src/decision/reducer_state.h
+++ b/src/decision/reducer_state.h
@@ -44,7 +44,7 @@
     void on(const StopRequested&, Context& context) { m_drain.onStopRequested(context); }
     void on(const PlatformReachable&, Context& context) { platformAnswered(context); }
     void on(const SheetConfirmed& event, Context& context) { m_gossip.confirmSheet(event.calledAt, event.held, context.now()); }
-    void on(const MachineSuspended& event, Context& context) { m_gossip.onSuspended(event.time, context.now()); }
+    void on(const SystemSuspended& event, Context& context) { m_gossip.onSuspended(event.time, context.now()); }
     void on(const SettingsChanged& event, Context&) { m_gossip.setSeeds(event.seeds); }
     void on(const PlatformUnreachable& event, Context& context);
     void on(const ServersPublished& event, Context& context);
--- a/src/decision/workspaces/configuration_confirmation.h
+++ b/src/decision/workspaces/configuration_confirmation.h
@@ -32,7 +32,7 @@
     /// @param began when the call was made, or the ping sent, that proves it
     /// @param offset time for which the platform held its reply back, or minus the age that a member states
     void confirm(Time began, Duration offset, Time now);
-    /// Records that the machine was suspended, which the clock did not count.
+    /// Records that the system was suspended, which the clock did not count.
     ///
     /// @param now when that was noticed; what began earlier may have begun before the suspension
     void onSuspended(Duration time, Time now);
--- a/src/shell/instance.cpp
+++ b/src/shell/instance.cpp
@@ -127,8 +127,8 @@
 void Instance::apply(EventBody body)
 {
     if (const Duration suspended = m_suspensionClock.takeSuspended(); suspended > Duration {}) {
-        logMessage(LogLevel::Warn, LogComponent::Main, "The machine was suspended for " + std::to_string(std::chrono::duration_cast<Millis>(suspended).count()) + " ms.");
-        applyNow(MachineSuspended { suspended });
+        logMessage(LogLevel::Warn, LogComponent::Main, "The system was suspended for " + std::to_string(std::chrono::duration_cast<Millis>(suspended).count()) + " ms.");
+        applyNow(SystemSuspended { suspended });
     }
     applyNow(std::move(body));
 }
--- a/src/shell/suspension_clock.h
+++ b/src/shell/suspension_clock.h
@@ -4,10 +4,10 @@
 
 namespace cornelwind {
 
-/// Measures the time for which the machine was suspended, which the steady clock does not count.
+/// Measures the time for which the system was suspended, which the steady clock does not count.
 class SuspensionClock {
 public:
-    /// @return time for which the machine was suspended since the last call; zero for less than 10 ms
+    /// @return time for which the system was suspended since the last call; zero for less than 10 ms
     Duration takeSuspended();
 
 private:
--- a/tests/support/simulated_store_fleet.cpp
+++ b/tests/support/simulated_store_fleet.cpp
@@ -341,7 +341,7 @@
         if (instance.suspendedAt) {
             const Duration time = m_schedule.now() - *instance.suspendedAt;
             instance.suspended += time;
-            apply(index, MachineSuspended { time });
+            apply(index, SystemSuspended { time });
         }
         for (auto& action : std::exchange(instance.pending, {}))
             m_schedule.add({}, std::move(action));
@@ -456,7 +456,7 @@
         StoreAccess access = StoreAccess::Served;
         bool isolated = false;
         bool isPaused = false;
-        /// When the machine was suspended; empty if the process is frozen.
+        /// When the system was suspended; empty if the process is frozen.
         std::optional<Time> suspendedAt;
         /// Time that its clock has not counted.
         Duration suspended {};
