Clarify names and doc comments of quotas, members and restores

Cause: some constants had no unit or a name that says something else (MAJORITY for 0.8, TURN for a lifetime, CONCLUSIVE for a number of members), two types were named Ask, WorkspaceId was declared twice, and several comments used figurative words, covered two members at once or left out a parameter or a side effect. Change: names and comments only. DepartedServers now states that a record is kept up to twice KEEP_TIME, as expire() does.

--- a/src/decision/admission/request_queue.h
+++ b/src/decision/admission/request_queue.h
@@ -11,9 +11,6 @@
 
 namespace cornelwind {
 
-/// Hash of the name of a workspace; 0 if a request belongs to none.
-using WorkspaceId = StrongType<struct WorkspaceIdTag, std::uint64_t>;
-
 /// A request as the queue of its service sees it.
 struct QueuedRequest {
     RequestId request;
@@ -25,6 +22,7 @@
     Time deadline;
     /// From this time on `expire` removes the request.
     Time expires;
+    /// 0 if the request belongs to none.
     WorkspaceId workspace;
     /// Capacity that the workspace is due, relative to the others: its quota if it has one.
     double workspaceWeight = 1;
--- a/src/decision/coordinator_choice.cpp
+++ b/src/decision/coordinator_choice.cpp
@@ -7,10 +7,12 @@
 namespace {
 
     constexpr Duration OBSERVATION_INTERVAL = std::chrono::milliseconds(100);
+    // 64-bit FNV prime.
     constexpr std::uint64_t FINGERPRINT_FACTOR = 0x100000001b3;
 
 } // namespace
 
+// Mixes the bits with the finalizer of SplitMix64.
 std::uint64_t CoordinatorChoice::hashOf(std::uint64_t subject, const InstanceName& instance)
 {
     std::uint64_t bits = subject ^ serverIdOf(ServerName { instance.value() }).value();
--- a/src/decision/coordinator_choice.h
+++ b/src/decision/coordinator_choice.h
@@ -28,7 +28,7 @@
     {
     }
 
-    /// Notes when members change. To be called on each tick.
+    /// Records changes of the members. To be called on each tick.
     void observe(Time now);
 
     /// @param subject hash of the name of the subject
@@ -39,7 +39,7 @@
     bool isLive(const InstanceName& instance) const;
     bool isSelf(const InstanceName& instance) const { return instance == m_members.self(); }
 
-    /// Notes that a message was sent to a member that it has to answer.
+    /// Records that a message was sent to a member that it has to answer.
     void expectReply(const InstanceName& member, Time now) { m_awaitedSince.emplace(member, now); }
     void onReply(const InstanceName& member) { m_awaitedSince.erase(member); }
     /// Ends the time for which a member is passed over, because it replied in time.
@@ -64,11 +64,11 @@
     std::optional<Time> precedesSince(std::uint64_t subject) const;
     /// @return the known members that precede this entry instance and are not live; at most `limit`, the highest first
     std::vector<InstanceName> gonePredecessors(std::uint64_t subject, std::size_t limit) const;
-    /// @return when this entry instance started, or went on after it stood still
+    /// @return when this entry instance started, or went on after it did not run for a while
     Time startedAt() const { return m_startedAt.value_or(Time {}); }
     /// @return the members that are passed over
     std::vector<InstanceName> silentMembers() const;
-    /// Forgets since when this entry instance is coordinator, because it stood still and others may have taken its place.
+    /// Forgets since when this entry instance is coordinator, because it did not run for a while and others may have taken its place.
     void restart(Time now) { m_startedAt = now; }
 
 private:
@@ -84,9 +84,11 @@
     std::map<InstanceName, Time> m_goneSince;
     std::optional<Time> m_startedAt;
     Time m_membersChangedAt;
+    /// Of the live members.
     std::uint64_t m_membersFingerprint = 0;
     /// Of the members that are alive and not suspected.
     std::uint64_t m_aliveFingerprint = 0;
+    /// Number of times that a member began or ceased to be passed over.
     std::uint64_t m_passedOver = 0;
     Time m_nextObservation;
 };
--- a/src/decision/departed_servers.h
+++ b/src/decision/departed_servers.h
@@ -10,7 +10,7 @@
 /// The backend servers that went out of use lately.
 ///
 /// A store that is restored from an older copy may hold entries of them. Memory: one record for each server that went out of use in
-/// the last `KEEP_TIME`; none while the store states no era.
+/// the last two `KEEP_TIME`; none while the store states no era.
 class DepartedServers {
 public:
     /// The platform's store is restored from copies that are some seconds old.
@@ -31,7 +31,7 @@
     void remove(const ServerName& name) { m_departures.erase(name); }
     /// @return the departure of a server, or nothing if it is not known
     std::optional<Departure> find(const ServerName& name) const;
-    /// Forgets the departures that are too old. Looks for them once in `KEEP_TIME`.
+    /// Forgets the departures that are too old. Looks for them once in `KEEP_TIME`, so that a record is kept up to twice as long.
     void expire(Time now);
 
 private:
--- a/src/decision/server_registry.cpp
+++ b/src/decision/server_registry.cpp
@@ -30,10 +30,10 @@
         return { StoreEra { news.since_era() }, StoreRevision { news.since() } };
     }
 
-    /// @param message era of the message that contains the row
-    StorePosition positionOf(const peer::ServerRemoval& row, StoreEra message)
+    /// @param messageEra era of the message that contains the row
+    StorePosition positionOf(const peer::ServerRemoval& row, StoreEra messageEra)
     {
-        return { StoreEra { message.value() + row.era_lead() }, StoreRevision { row.revision() } };
+        return { StoreEra { messageEra.value() + row.era_lead() }, StoreRevision { row.revision() } };
     }
 
 } // namespace
@@ -358,10 +358,10 @@
     return removal;
 }
 
-bool ServerRegistry::applyPeerRemoval(const peer::ServerRemoval& row, StoreEra message, Context& context)
+bool ServerRegistry::applyPeerRemoval(const peer::ServerRemoval& row, StoreEra messageEra, Context& context)
 {
     const ServerName name { row.name() };
-    Removal removal { positionOf(row, message), {}, false, REMOVED_BY_PEER };
+    Removal removal { positionOf(row, messageEra), {}, false, REMOVED_BY_PEER };
     if (row.in_use_ms())
         removal.removeAt = context.now() + std::min<Duration>(Millis { row.in_use_ms() }, EXPIRY_GRACE);
     noteEra(removal.position.era, context);
--- a/src/decision/server_registry.h
+++ b/src/decision/server_registry.h
@@ -122,7 +122,7 @@
         const char* evidence;
     };
 
-    /// What an earlier era said of a server last.
+    /// The latest state of a server in an earlier era.
     struct EarlierEra {
         StorePosition position;
         std::uint64_t incarnation = 0;
@@ -143,8 +143,8 @@
     void defer(const ServerChange& change);
     /// Applies the deferred entries whose time is over.
     bool applyDeferred(Context& context);
-    /// Applies that the server of an entry that is known here is leaving. Two instances may differ in this after a restore; leaving
-    /// holds.
+    /// Applies an entry that is known here if it states that its server is leaving. After a restore, two instances may hold the same
+    /// entry with and without this; the leaving state prevails.
     bool applyLeaving(const ServerChange& change, Context& context);
     /// Applies one change from any source.
     ///
@@ -152,8 +152,8 @@
     bool apply(const ServerChange& change, const Removal& removal, Context& context);
     bool applyEntry(const PublishedServer& published, StorePosition position, Context& context);
     bool applyRemoval(const ServerName& name, const Removal& removal, Context& context);
-    /// @param message era of the message that contains the row
-    bool applyPeerRemoval(const peer::ServerRemoval& row, StoreEra message, Context& context);
+    /// @param messageEra era of the message that contains the row
+    bool applyPeerRemoval(const peer::ServerRemoval& row, StoreEra messageEra, Context& context);
     /// Removes the servers that a complete list of the platform does not contain.
     ///
     /// @return whether the servers in use changed
--- a/src/decision/workspaces/configuration_confirmation.cpp
+++ b/src/decision/workspaces/configuration_confirmation.cpp
@@ -6,8 +6,8 @@
 namespace cornelwind {
 namespace {
 
-    // In percent of the maximum age: a member is asked when the confirmation is older, which leaves time for several attempts.
-    constexpr std::int64_t REFRESH_AGE = 28;
+    // Part of the maximum age: a member is asked when the confirmation is older, which leaves time for several attempts.
+    constexpr std::int64_t REFRESH_AGE_PERCENT = 28;
 
 } // namespace
 
@@ -47,7 +47,7 @@
 
 bool ConfigurationConfirmation::needsRefresh(Time now) const
 {
-    return m_maxAge && (!m_confirmedAt || now - *m_confirmedAt > *m_maxAge * REFRESH_AGE / 100);
+    return m_maxAge && (!m_confirmedAt || now - *m_confirmedAt > *m_maxAge * REFRESH_AGE_PERCENT / 100);
 }
 
 } // namespace cornelwind
--- a/src/decision/workspaces/quota_coordinator.cpp
+++ b/src/decision/workspaces/quota_coordinator.cpp
@@ -14,10 +14,10 @@
     constexpr double FILLED_PART = 0.5;
     // Part of the slack that one takeover may use. Several may follow each other within one window.
     constexpr double TAKEOVER_SLACK_PART = 0.25;
-    // With this part of the other members reachable, a member that does not reply reaches too few to matter.
-    constexpr double MAJORITY = 0.8;
+    // If this part of the other members answers, an earlier coordinator that does not can reach only the few others.
+    constexpr double MIN_ANSWERING_PART = 0.8;
     // Nobody grants tokens while the members wait for the reply of a coordinator that is gone.
-    constexpr Duration GAP = CoordinatorChoice::REPLY_TIMEOUT;
+    constexpr Duration TAKEOVER_GAP = CoordinatorChoice::REPLY_TIMEOUT;
     // A full bucket that nobody has asked for tokens in this time is forgotten.
     constexpr Duration IDLE_LIFETIME = std::chrono::seconds(10);
     // Earlier coordinators of each workspace that are asked whether they answer again.
@@ -131,7 +131,7 @@
 
 void QuotaCoordinator::settle(Row& row, Time now) const
 {
-    const bool checked = m_reach.lastCheck() >= row.leadsSince && m_reach.answeringPart() >= MAJORITY;
+    const bool checked = m_reach.lastCheck() >= row.leadsSince && m_reach.answeringPart() >= MIN_ANSWERING_PART;
     if (row.leads && row.settledAt > now && row.leadsSince > m_choice.startedAt() && checked)
         row.settledAt = now;
 }
@@ -246,7 +246,7 @@
 
 double QuotaCoordinator::takeoverTokens(const WorkspaceQuota& quota) const
 {
-    return std::min(quota.burst, std::max(m_policy.slack * TAKEOVER_SLACK_PART, quota.perSecond * seconds(GAP)));
+    return std::min(quota.burst, std::max(m_policy.slack * TAKEOVER_SLACK_PART, quota.perSecond * seconds(TAKEOVER_GAP)));
 }
 
 } // namespace cornelwind
--- a/src/decision/workspaces/quota_coordinator.h
+++ b/src/decision/workspaces/quota_coordinator.h
@@ -16,9 +16,9 @@
 
 /// Grants the tokens of the workspaces that this entry instance coordinates, see docs/design/workspace-quotas.md.
 ///
-/// An instance that no live member precedes leads: it grants the whole rate, or its part if members are not reachable. It grants
-/// only the part by which a quota may be exceeded (`Policy::over`) as long as an earlier coordinator may be at work, and as a
-/// deputy, that is, if others ask it although a member precedes it.
+/// Members precede each other in the order of their hashes, see `CoordinatorChoice`. An instance that no live member precedes leads
+/// the workspace: it grants the whole rate, or its part if members are not reachable. It grants only the part by which a quota may be
+/// exceeded (`Policy::over`) as long as an earlier coordinator may be at work, and if others ask it although a member precedes it.
 ///
 /// Memory: one row for each workspace in use that is coordinated here, with an entry for each instance that holds tokens ahead.
 class QuotaCoordinator {
@@ -29,13 +29,17 @@
     /// nearly all other members: then it reaches hardly any.
     static constexpr Duration SETTLE_TIME = std::chrono::milliseconds(1500);
 
-    /// How far all instances together may exceed a quota, see `Settings::quotaOver`.
+    /// How far all instances together may exceed a quota.
     struct Policy {
+        /// Part of the quota, see `Settings::quotaOver`.
         double over = 0;
+        /// Requests beyond that, see `Settings::quotaSlack`.
         double slack = 0;
+        /// See `Settings::quotaWindow`.
         Duration window {};
     };
 
+    /// The tokens that an instance asks for.
     struct Ask {
         InstanceName instance;
         /// Tokens for requests that wait.
@@ -46,9 +50,11 @@
         std::uint32_t held = 0;
     };
 
+    /// The reply to an `Ask`.
     struct Grant {
-        /// Tokens that may be used at once, and those that may be used later, evenly spread over `wait`.
+        /// Tokens that may be used at once.
         std::uint32_t ready = 0;
+        /// Tokens that may be used later, evenly spread over `wait`.
         std::uint32_t later = 0;
         Duration wait {};
         /// Time until a token is available for those that were needed and not granted; zero if there are none.
--- a/src/decision/workspaces/quota_lease.cpp
+++ b/src/decision/workspaces/quota_lease.cpp
@@ -76,7 +76,7 @@
 
 std::uint32_t QuotaLease::receive(const QuotaCoordinator::Grant& grant, Time now, std::vector<QuotaDecision>& decisions)
 {
-    const Ask ask = *std::exchange(m_ask, std::nullopt);
+    const PendingAsk ask = *std::exchange(m_ask, std::nullopt);
     std::uint32_t ready = grant.ready;
     for (; ready && passOn(decisions); --ready)
         continue;
--- a/src/decision/workspaces/quota_lease.h
+++ b/src/decision/workspaces/quota_lease.h
@@ -27,7 +27,7 @@
     static constexpr Duration TOKEN_LIFETIME = std::chrono::seconds(1);
 
     /// Tokens asked of a coordinator, which has not replied.
-    struct Ask {
+    struct PendingAsk {
         std::uint64_t sequence = 0;
         InstanceName coordinator;
         Time sentAt;
@@ -59,11 +59,12 @@
     /// @return time until a token is available, if the coordinator said that there is none; zero otherwise
     Duration blockedFor(Time now) const { return now < m_blockedUntil ? m_nextTokenAt - now : Duration {}; }
 
+    /// @param remote whether another instance is the coordinator; only then are tokens asked for ahead
     /// @return what to ask for now; empty if nothing
     std::optional<QuotaCoordinator::Ask> nextAsk(bool remote, Time now) const;
-    void beginAsk(Ask ask) { m_ask = std::move(ask); }
+    void beginAsk(PendingAsk ask) { m_ask = std::move(ask); }
     /// @return the ask without a reply; null if there is none
-    const Ask* currentAsk() const { return m_ask ? &*m_ask : nullptr; }
+    const PendingAsk* currentAsk() const { return m_ask ? &*m_ask : nullptr; }
     void dropAsk() { m_ask.reset(); }
 
     /// Hands out the tokens that answer the current ask.
@@ -86,7 +87,9 @@
     std::optional<Unused> cancel(RequestId request);
     /// @return the tokens whose lifetime is over
     std::vector<Unused> takeExpired(Time now);
-    /// Drops the tokens that are held, and what is known of the next one, since the quota has changed.
+    /// Forgets when the next token is available, and drops the local bucket, since the quota has changed.
+    ///
+    /// @param dropTokens whether the tokens that are held are dropped too
     void reset(bool dropTokens);
 
     /// @return whether it may be forgotten
@@ -123,7 +126,7 @@
     std::deque<Batch> m_held;
     std::deque<Waiting> m_waiting;
     std::vector<Due> m_due;
-    std::optional<Ask> m_ask;
+    std::optional<PendingAsk> m_ask;
     Time m_blockedUntil;
     Time m_nextTokenAt;
     Time m_nextAheadAt;
--- a/src/decision/workspaces/reach_check.cpp
+++ b/src/decision/workspaces/reach_check.cpp
@@ -6,12 +6,14 @@
 namespace cornelwind {
 namespace {
 
+    // Checks go on for this time after the last request for them.
     constexpr Duration WANTED_TIME = std::chrono::seconds(2);
     // Older results say nothing of the present.
     constexpr Duration RESULT_LIFETIME = std::chrono::seconds(2);
 
-    // Members that are asked in vain by chance, since half of the fleet is not reachable, are hardly ever this many.
-    constexpr std::size_t CONCLUSIVE = 8;
+    // Number of members asked from which a check without answers shows isolation. While half of the fleet is reachable, a check of
+    // this size has no answer by chance only once in 256.
+    constexpr std::size_t MIN_CONCLUSIVE_SAMPLE = 8;
 
 } // namespace
 
@@ -25,7 +27,7 @@
     if (context.now() >= m_wantedUntil || !m_asked.empty() || context.now() - m_startedAt < INTERVAL)
         return {};
     std::vector<MemberRecord*> live = m_members.live();
-    const std::size_t sample = wide || answeringPart() < 1 ? WIDE_SAMPLE : SAMPLE;
+    const std::size_t sample = wide || answeringPart() < 1 ? WIDE_SAMPLE_SIZE : SAMPLE_SIZE;
     while (!live.empty() && m_asked.size() < sample) {
         std::swap(live[context.random() % live.size()], live.back());
         m_asked.push_back(live.back()->name);
@@ -47,8 +49,8 @@
         const MemberRecord* member = m_members.find(name);
         return member && member->lastHeard > m_startedAt;
     });
-    m_results.push_back({ m_startedAt, asked.size(), static_cast<std::size_t>(answered), m_askedAll || asked.size() >= CONCLUSIVE });
-    if (m_results.size() > CHECKS)
+    m_results.push_back({ m_startedAt, asked.size(), static_cast<std::size_t>(answered), m_askedAll || asked.size() >= MIN_CONCLUSIVE_SAMPLE });
+    if (m_results.size() > MAX_RESULTS)
         m_results.pop_front();
 }
 
--- a/src/decision/workspaces/reach_check.h
+++ b/src/decision/workspaces/reach_check.h
@@ -10,17 +10,18 @@
 
 /// Estimates which part of the live members this entry instance reaches, long before they are declared dead.
 ///
-/// Asks a few members, chosen at random, for a sign of life every `INTERVAL` while that is of interest. Any message of a member counts.
+/// Asks a few members, chosen at random, for a reply every `INTERVAL` while that is of interest. Any message of a member counts.
 class ReachCheck {
 public:
     static constexpr Duration INTERVAL = std::chrono::milliseconds(300);
     /// Members that do not answer within this time are not reached.
     static constexpr Duration TIMEOUT = std::chrono::milliseconds(150);
-    /// Members asked in a check, normally and after a member did not answer.
-    static constexpr std::size_t SAMPLE = 3;
-    static constexpr std::size_t WIDE_SAMPLE = 16;
-    /// Checks from which the part is estimated.
-    static constexpr std::size_t CHECKS = 3;
+    /// Number of members asked in a check.
+    static constexpr std::size_t SAMPLE_SIZE = 3;
+    /// The same after a member did not answer.
+    static constexpr std::size_t WIDE_SAMPLE_SIZE = 16;
+    /// Number of latest checks from which the part is estimated.
+    static constexpr std::size_t MAX_RESULTS = 3;
 
     explicit ReachCheck(MemberTable& members)
         : m_members(members)
--- a/src/decision/workspaces/token_bucket.cpp
+++ b/src/decision/workspaces/token_bucket.cpp
@@ -22,7 +22,7 @@
         m_level = std::min(m_level, limits.capacity);
         return;
     }
-    const double expiry = 1 + limits.perSecond * seconds(TURN);
+    const double expiry = 1 + limits.perSecond * seconds(SINGLE_TOKEN_LIFETIME);
     if (m_level > expiry)
         m_level -= std::ceil(m_level - expiry);
 }
--- a/src/decision/workspaces/token_bucket.h
+++ b/src/decision/workspaces/token_bucket.h
@@ -8,12 +8,13 @@
 
 /// Counts the tokens of a rate limit: each is the right to run one request.
 ///
-/// The level may fall below 0, for tokens that are granted for a time to come. A bucket with a capacity below 1 holds one token
-/// for `TURN` and then loses it, so that many such buckets, whose levels start at random, never give out all their tokens at once.
+/// The level falls below 0 when tokens are granted before they come. A bucket with a capacity below 1 holds one token for
+/// `SINGLE_TOKEN_LIFETIME` and then loses it, so that many such buckets, whose levels start at random, never give out all their
+/// tokens at once.
 class TokenBucket {
 public:
     /// Time for which a bucket with a capacity below 1 keeps its token.
-    static constexpr Duration TURN = std::chrono::seconds(1);
+    static constexpr Duration SINGLE_TOKEN_LIFETIME = std::chrono::seconds(1);
 
     struct Limits {
         /// Tokens that come each second.
--- a/src/decision/workspaces/workspace_quotas.cpp
+++ b/src/decision/workspaces/workspace_quotas.cpp
@@ -221,7 +221,7 @@
         const WorkspaceName name { row.workspace() };
         const Workspace* workspace = findLimited(name);
         const auto lease = m_leases.find(name);
-        const QuotaLease::Ask* asked = lease == m_leases.end() ? nullptr : lease->second.currentAsk();
+        const QuotaLease::PendingAsk* asked = lease == m_leases.end() ? nullptr : lease->second.currentAsk();
         const bool answers = asked && asked->sequence == reply.sequence() && asked->coordinator == sender.name;
         // A token that came late would be used in another window than it was granted for.
         if (!workspace || !answers || context.now() - asked->sentAt >= QuotaLease::TOKEN_LIFETIME) {
--- a/src/decision/workspaces/workspace_quotas.h
+++ b/src/decision/workspaces/workspace_quotas.h
@@ -87,7 +87,8 @@
     /// @return the workspace; null if it has no quota
     const Workspace* findLimited(const WorkspaceName& name) const;
     QuotaLease& findOrCreate(const Workspace& workspace);
-    /// Notices that this process has not run for a while.
+    /// Starts the observation of members and coordinators anew if this process has not run for a while. Sets the first
+    /// sequence number.
     void observeTime(Context& context);
     /// Asks for the tokens that a lease needs or expects to need, unless it has asked already.
     void ask(const Workspace& workspace, QuotaLease& lease, PeerOutbox& outbox, Context& context);
@@ -96,7 +97,7 @@
     void takeLocally(const Workspace& workspace, QuotaLease& lease, Context& context);
     void returnTokens(const WorkspaceName& workspace, const InstanceName& to, std::uint32_t tokens, Time now);
     void sendReturns(Context& context);
-    /// Asks some members, and those that are passed over, for a sign of life.
+    /// Asks some members at random, those that are passed over and earlier coordinators for a reply.
     void checkReach(Context& context);
     void handOver(Context& context);
     PeerOutbox makeOutbox() { return { m_dependencies.members, m_dependencies.gossip }; }
