Identify the workspace of a waiting request as everywhere else

Cause: the queue used std::hash of the name, while WorkspaceId is by definition the same on all instances. Change: workspaceIdOf. No behaviour changes within an instance. Result: reducer_test green.

--- a/src/decision/request_flow_queue.cpp
+++ b/src/decision/request_flow_queue.cpp
@@ -85,7 +85,7 @@
     queued.expires = queueDeadline(request, now);
     queued.work = expectedWork(request);
     if (request.workspace) {
-        queued.workspace = WorkspaceId { std::hash<WorkspaceName> {}(request.workspace->name) };
+        queued.workspace = workspaceIdOf(request.workspace->name);
         queued.workspaceWeight = request.workspace->quota ? request.workspace->quota->perSecond : m_meanQuota;
     }
     return queued;
