--- a/tests/api_key_process_test.cpp
+++ b/tests/api_key_process_test.cpp
@@ -206,7 +206,7 @@
         scenario.checkNoOutputHas(secret);
 }
 
-// Guards against a check that is made once for a connection, and against an instance that wakes up with old keys.
+// Guards against a check that is made once for a connection, and against an instance that uses old keys after a freeze.
 TEST_CASE("A removed key is refused on an open connection, and by an instance that was frozen meanwhile")
 {
     Scenario scenario(2);
@@ -280,7 +280,7 @@
 }
 
 // Guards against an instance that goes on with keys that nobody confirms.
-TEST_CASE("Instances that lose the store stop to accept keys, and serve again with its first answer")
+TEST_CASE("Instances that lose the store stop accepting keys, and serve again with its first answer")
 {
     Scenario scenario(2);
     scenario.publish(tenants(quoted(KEY)));
--- a/tests/http_status_test.cpp
+++ b/tests/http_status_test.cpp
@@ -1,4 +1,4 @@
-// Tests that the HTTP client returns no response whose status is none of a final response.
+// Tests that the HTTP client returns no response whose status is not that of a final response.
 #include "http_client.h"
 #include "support/net.h"
 
@@ -60,7 +60,7 @@
 
 } // namespace
 
-TEST_CASE("A response with a status that is none is never returned, and the call ends at once")
+TEST_CASE("A response with an invalid status is never returned, and the call ends at once")
 {
     const StatusCase cases[] = {
         { "000", "", TryResult::Broken },
--- a/tests/key_revocation_test.cpp
+++ b/tests/key_revocation_test.cpp
@@ -153,7 +153,7 @@
 }
 
 // Guards against an instance that cannot tell an outage of the store from its own isolation, and goes on.
-TEST_CASE("During an outage of the whole store every instance stops to accept keys, still serves public rules, and recovers")
+TEST_CASE("During an outage of the whole store every instance stops accepting keys, still serves public rules, and recovers")
 {
     for (const StoreAccess outage : { StoreAccess::Refused, StoreAccess::Silent }) {
         SimulatedStoreFleet fleet = makeFleet(6);
--- a/tests/platform_process_test.cpp
+++ b/tests/platform_process_test.cpp
@@ -255,7 +255,7 @@
     }
 }
 
-TEST_CASE("A status that is none reaches no caller, and an order that may have run is not refused as not run")
+TEST_CASE("An invalid status reaches no caller, and an order that may have run is not refused as not run")
 {
     Scenario scenario(1, { "s0", "s1" });
     const auto useAgain = [&](const std::string& target) {
--- a/tests/slow_reader_test.cpp
+++ b/tests/slow_reader_test.cpp
@@ -25,7 +25,7 @@
 using Clock = std::chrono::steady_clock;
 
 constexpr std::size_t MEGABYTE = 1024 * 1024;
-// Three of them leave no room for one of medium size in the budget, and one is more than the kernel takes.
+// Three large responses leave no room for a medium one in the budget, and a single one is more than the kernel buffers.
 constexpr std::size_t RESPONSE_BYTES = 5 * MEGABYTE;
 constexpr std::size_t MEDIUM_BYTES = 2 * MEGABYTE;
 constexpr std::size_t REQUEST_BYTES = 8 * MEGABYTE;
@@ -316,7 +316,7 @@
     CHECK(ended > 0);
     CHECK(served > 50);
     CHECK(notServed == 0);
-    // Some end before the slow readers that hold the memory are known as slow.
+    // Some of these responses are ended before the slow readers count as slow.
     CHECK(4 * mediumServed > mediumSent);
     CHECK(scenario.faults() == "");
     CHECK_FALSE(scenario.fleet.instance("a").wait(0));
