Document the memory budget, bodies and eras of the shell in plainer words

Cause: comments told of a purpose only the author knew, and doc comments lacked results, or that memoryStake records progress.

--- a/src/shell/http_client_exchange.cpp
+++ b/src/shell/http_client_exchange.cpp
@@ -53,7 +53,7 @@
     return MemoryStake { Transfer::ToServer, m_call.body.size(), m_writeProgress.slowSince(), m_writeProgress.stalledSince() };
 }
 
-// A server may have read a request of which only a part was written, so the call then counts as cancelled and not as not sent.
+// A request that is being written may have been read in part, so the call counts as cancelled and not as not sent.
 void HttpClient::Exchange::endTransfer()
 {
     if (m_writing) {
@@ -153,7 +153,7 @@
         const unsigned status = self->m_parser->get().result_int();
         if (isInterimStatus(status))
             return self->skipResponse();
-        // A server in trouble may send any number. No protocol switch is ever asked for.
+        // The parser accepts any number as a status. 101 is invalid too, because no request asks for a protocol switch.
         if (!isFinalStatus(status))
             return self->finish(TryResult::Broken);
         self->beginBody();
--- a/src/shell/http_connection.cpp
+++ b/src/shell/http_connection.cpp
@@ -192,7 +192,7 @@
     startTimer(m_listener->limits.receiveTimeout, &Connection::onBodyTimeout);
     m_receivingBody = true;
     m_progress.start(steadyNow());
-    // Reads as much at a time as a read of the whole body does.
+    // Lets each read consume all that the buffer holds, as `http::async_read` does.
     m_parser->eager(true);
     if (!m_parser->is_done())
         return readSomeBody();
@@ -304,7 +304,7 @@
     });
 }
 
-// Discards what the kernel still holds of the response, which it would otherwise keep for a client that does not read.
+// Closes with a reset, since after a normal close the kernel would keep the rest of the response for a client that does not read.
 void HttpServer::Connection::resetNow()
 {
     ErrorCode ignored;
--- a/src/shell/http_server.h
+++ b/src/shell/http_server.h
@@ -76,9 +76,8 @@
     Millis receiveTimeout { 5000 };
     /// Maximum time that a connection may stay open without a request.
     Millis idleTimeout { 60000 };
-    /// A client that takes no byte of its response in a whole period of this length is disconnected. The period is as long as a
-    /// connection may stay idle by default: a client that reads at all takes some bytes in it, and one that does not must not hold
-    /// a connection, of which there are few, for ever.
+    /// A client that takes no byte of its response in a whole period of this length is disconnected, because the number of connections
+    /// is limited. The default is that of `idleTimeout`, in which a client that reads at all takes some bytes.
     Millis responseStallTimeout { 60000 };
 };
 
--- a/src/shell/instance.cpp
+++ b/src/shell/instance.cpp
@@ -123,7 +123,7 @@
     }
 }
 
-// The time spent suspended has to be known before anything is decided that depends on the age of knowledge.
+// A suspension is reported before the event, since decisions depend on the age of what the instance knows.
 void Instance::apply(EventBody body)
 {
     if (const Duration suspended = m_suspensionClock.takeSuspended(); suspended > Duration {}) {
--- a/src/shell/memory_budget.cpp
+++ b/src/shell/memory_budget.cpp
@@ -8,9 +8,10 @@
 namespace cornelwind {
 namespace {
 
-    // Ticks come every 10 ms. After a gap of this length the process itself did not run.
+    // Ticks come every 10 ms. A longer gap than this means that the process itself did not run.
     constexpr Duration MAX_TICK_GAP = std::chrono::milliseconds(200);
 
+    // Interval at which the progress of all transfers is measured.
     constexpr Duration MEASUREMENT_INTERVAL = std::chrono::milliseconds(100);
 
     constexpr std::array<const char*, MEMORY_KINDS> kindNames { "receiving-request", "request", "response", "writing-response" };
@@ -40,7 +41,8 @@
     enforce(now);
 }
 
-// While memory suffices nothing else asks for the progress, and it must be known at once when memory is short.
+// `memoryStake` also records the progress of a transfer. Nothing else calls it while memory suffices, but the progress must be known
+// as soon as memory is short.
 void MemoryBudget::measureProgress(Time now)
 {
     if (now < m_nextMeasurement)
--- a/src/shell/memory_budget.h
+++ b/src/shell/memory_budget.h
@@ -14,7 +14,7 @@
 
 namespace cornelwind {
 
-/// What the bytes of a charge are.
+/// Purpose of the bytes that a `MemoryCharge` counts.
 enum class MemoryKind : std::uint8_t {
     /// Body of a request that is being received from a caller.
     ReceivingRequest,
@@ -36,6 +36,8 @@
 public:
     virtual ~MemoryHolder() = default;
 
+    /// Records the progress of the transfer, and describes it.
+    ///
     /// @return the transfer in progress; nothing if there is none that can be ended
     virtual std::optional<MemoryStake> memoryStake(Time now) = 0;
     /// Ends the transfer that `memoryStake` describes. Its bytes no longer count on return, and `memoryStake` returns nothing.
@@ -49,7 +51,8 @@
 class MemoryBudget {
 public:
     static constexpr std::size_t DEFAULT_LIMIT_BYTES = 128 * 1024 * 1024;
-    /// At 395 MB of memory, which are 98 MB of budget, a request body of 64 MiB still fits.
+    /// Part of the limit that request bodies may use. A process with 395 MB of memory has a limit of 98 MB, so that one request body
+    /// of 64 MiB still fits.
     static constexpr std::size_t REQUEST_PERCENT = 75;
 
     /// @param limit in bytes
@@ -65,13 +68,14 @@
     std::size_t used(MemoryKind kind) const { return m_usedByKind.at(static_cast<std::size_t>(kind)); }
     std::size_t limit() const { return m_limit; }
     bool isExceeded() const { return shortage() != Shortage::None; }
+    /// @return which limit is exceeded
     Shortage shortage() const;
 
     /// Ends transfers until memory suffices or none is left that may be ended.
     void enforce(Time now);
-    /// Enforces the limits periodically, for bytes that no longer grow but are not read either.
+    /// Measures progress and enforces the limits. Call it periodically, because a transfer that stalls causes no call of `enforce`.
     ///
-    /// A gap between two calls means that this process did not run, so that no peer is to blame for the bytes that it could not move.
+    /// After a gap between two calls this process did not run, so transfers do not count as slow for the time before it.
     void tick(Time now);
 
     /// @return number of transfers that were ended, by direction
@@ -96,7 +100,7 @@
     LogRateLimiter m_logRateLimiter;
     Time m_lastTick;
     Time m_nextMeasurement;
-    /// Start of the time in which this process has run without a gap.
+    /// Time since which this process has run without a gap.
     Time m_resumedAt;
 };
 
--- a/src/shell/memory_policy.cpp
+++ b/src/shell/memory_policy.cpp
@@ -34,7 +34,7 @@
         bool slow;
         /// Higher for directions that come first in `Transfer`; 0 unless slow.
         std::size_t direction;
-        /// Bytes, times seconds without progress if slow.
+        /// Bytes; times the seconds since `MemoryStake::slowSince` if slow.
         double weight;
 
         friend bool operator<(const Rank& a, const Rank& b)
--- a/src/shell/memory_policy.h
+++ b/src/shell/memory_policy.h
@@ -43,7 +43,7 @@
         m_total = 0;
         m_movedAt = now;
         m_startedAt = now;
-        m_since = now;
+        m_slowSince = now;
     }
     /// @param total bytes moved since the start
     void advance(std::size_t total, Time now)
@@ -55,18 +55,21 @@
         if (total < m_counted + SMALL_BODY_BYTES)
             return;
         m_counted = total;
-        m_since = now;
+        m_slowSince = now;
     }
-    Time slowSince() const { return m_since; }
+    /// @return time since which less than `SMALL_BODY_BYTES` have moved
+    Time slowSince() const { return m_slowSince; }
+    /// @return time at which a byte last moved
     Time stalledSince() const { return m_movedAt; }
     Time startedAt() const { return m_startedAt; }
 
 private:
+    /// Value of `m_total` at `m_slowSince`.
     std::size_t m_counted = 0;
     std::size_t m_total = 0;
     Time m_movedAt;
     Time m_startedAt;
-    Time m_since;
+    Time m_slowSince;
 };
 
 /// A transfer in progress and the memory that it holds.
@@ -91,9 +94,10 @@
 /// Chooses the transfer to end while memory is short.
 ///
 /// Slow transfers come first, except responses of backend servers, whose loss costs a request that has run. Among those of one
-/// direction it is the one with the most bytes times the time without progress. If none is slow, it is the largest body that is
-/// being received, of a request or a response: only receiving takes more memory. If that is the body of a request, the request that
-/// began last is ended instead. Otherwise none of many callers that send large bodies at once would ever come to an end.
+/// direction it is the one with the largest product of bytes and time in which it was slow. If none is slow, it is the largest
+/// body that is being received, of a request or a response: only receiving takes more memory. If that is the body of a request,
+/// the request that began last is ended instead. Otherwise none of many callers that send large bodies at once would ever come to
+/// an end.
 ///
 /// @param stakes transfers in progress
 /// @param resumedAt time before which this process did not run, so that no transfer counts as slow for longer
--- a/src/shell/metadata_store.h
+++ b/src/shell/metadata_store.h
@@ -48,7 +48,7 @@
     std::vector<std::string> unreadable {};
     /// Era that the response states; empty if it states none, or none that can be read.
     std::optional<StoreEra> era {};
-    /// What the response states instead of a number; empty if it states nothing or a number.
+    /// Text that the response states as its era and that is not a number; empty if there is none.
     std::string unreadableEra {};
 };
 
--- a/src/shell/metadata_store_watcher.h
+++ b/src/shell/metadata_store_watcher.h
@@ -61,7 +61,7 @@
     void onSheetRead(const StoreReply& reply);
     void onServersRead(const StoreReply& reply);
     void onChanges(const StoreReply& reply);
-    /// @return time for which the store certainly held the reply to the call in progress back
+    /// @return time for which the store is known to have held back the reply to the latest call
     Duration heldTime(const StoreReply& reply) const;
     /// Resets the state so that the next call starts to read all values again.
     void restartFromFullRead();
@@ -96,7 +96,7 @@
     bool m_suspended = false;
     bool m_callInProgress = false;
     Time m_calledAt;
-    /// Time for which the store may hold the call in progress back without a change.
+    /// Maximum time for which the store holds back its reply to the latest call while there is no change.
     Millis m_callWait {};
     /// Longest time that a watch waits for a change.
     Millis m_wait {};
--- a/src/shell/peer_messenger.cpp
+++ b/src/shell/peer_messenger.cpp
@@ -101,7 +101,7 @@
 {
     if (request.body.size() > effect.limit.value())
         return m_sink(ReceiveFailed { request.id, ErrorKind::BodyTooLarge });
-    // The budget cannot end what has arrived whole, so a forwarded request is refused here.
+    // A forwarded body arrives complete, so it is no transfer that the budget could end. It is refused here instead.
     if (request.body.size() > SMALL_BODY_BYTES && m_memory->isExceeded())
         return m_sink(ReceiveFailed { request.id, ErrorKind::MemoryShort });
     m_sink(BodyReceived { request.id, requestFingerprint(request.head, request.body.text()), ByteCount { request.body.size() } });
--- a/src/shell/request_table.h
+++ b/src/shell/request_table.h
@@ -33,7 +33,7 @@
     SharedBody body;
     HttpExchangePtr exchange;
     std::optional<PeerOrigin> origin;
-    /// Workspace that the peer found which forwarded the request; empty if there is none.
+    /// Name of the workspace, as stated by the peer that forwarded the request; empty if there is none.
     std::string workspace;
     Span span;
 };
--- a/src/shell/sent_bytes.h
+++ b/src/shell/sent_bytes.h
@@ -8,12 +8,12 @@
 
 namespace cornelwind {
 
-/// Computes how much of a message the other side has taken. The kernel takes up to some MB at once and more only when a third of
-/// that is gone, so the bytes written say little of a slow reader.
+/// Computes how much of a message the other side has acknowledged. The kernel buffers up to 4 MB at once and accepts more only when
+/// a third of that is acknowledged, so the number of bytes written says little about a slow reader.
 ///
 /// @param socket descriptor of the connection
-/// @param written bytes of the message that the kernel has taken
-/// @return bytes that the other side has acknowledged
+/// @param written bytes of the message that the kernel has accepted
+/// @return bytes that the other side has acknowledged; `written` if the kernel does not tell
 inline std::size_t acknowledgedBytes(int socket, std::size_t written)
 {
     int queued = 0;
--- a/src/shell/shared_body.h
+++ b/src/shell/shared_body.h
@@ -22,6 +22,7 @@
         : SharedBody(std::string(text))
     {
     }
+    /// @param memory counts the bytes
     SharedBody(std::string text, const MemoryBudgetPtr& memory)
         : SharedBody(std::move(text))
     {
@@ -37,7 +38,7 @@
     std::size_t size() const { return text().size(); }
     bool empty() const { return text().empty(); }
 
-    /// Counts a call that writes the body.
+    /// Registers a call that sends the body, and counts its bytes.
     void beginCall() const
     {
         if (!m_content)
@@ -46,13 +47,14 @@
         if (m_content->charge)
             m_content->charge->set(size());
     }
-    /// Counts a call as ended.
+    /// Ends a call that `beginCall` registered. The bytes stay counted.
     void endCall() const
     {
         if (m_content)
             --m_content->calls;
     }
-    /// Stops counting the bytes, unless a call uses them: the request ends with the call that was just ended.
+    /// Stops counting the bytes at once, unless another call in progress uses them. For a call that was ended to free memory: its
+    /// request ends soon after and releases the bytes. `beginCall` counts them again.
     void stopCounting() const
     {
         if (m_content && !m_content->calls && m_content->charge)
@@ -68,7 +70,7 @@
 
         std::string text;
         std::optional<MemoryCharge> charge;
-        /// Calls in progress that write the body.
+        /// Number of calls in progress that send the body.
         int calls = 0;
     };
 
--- a/src/shell/store_era_tracker.h
+++ b/src/shell/store_era_tracker.h
@@ -30,15 +30,18 @@
         Repeat,
     };
 
+    /// Records the era that a reply states.
+    ///
+    /// @return what to do with the reply
     Verdict onReply(const StoreReply& reply);
-    /// Records an era that other entry instances know.
+    /// Records an era that is known from a reply or from another entry instance. Earlier ones are ignored.
     void learn(StoreEra era);
 
     /// @return the era that replies in use belong to
     StoreEra era() const { return m_era; }
 
 private:
-    /// What was odd with the header.
+    /// Why the era of a reply was ignored.
     enum class Problem : std::uint8_t {
         Missing,
         Unreadable,
@@ -46,6 +49,7 @@
     };
     static constexpr std::size_t PROBLEMS = 3;
 
+    /// @return `Repeat` if the era is earlier than the known one and may be from an old copy, else `Use`
     Verdict onEra(StoreEra era);
     /// Logs a problem for the first time in an era.
     void report(Problem problem, const std::string& detail);
--- a/src/shell/suspension_clock.cpp
+++ b/src/shell/suspension_clock.cpp
@@ -5,7 +5,7 @@
 namespace cornelwind {
 namespace {
 
-    // The two clocks are read one after the other, so that their difference varies a little.
+    // The two clocks are read one after the other, so their difference varies a little without a suspension.
     constexpr Duration MIN_SUSPENSION = std::chrono::milliseconds(10);
 
     Duration read(clockid_t clock)
