--- a/include/cornelwind/counters.h
+++ b/include/cornelwind/counters.h
@@ -25,6 +25,22 @@
     std::uint64_t repeated = 0;
     /// Tries that a backend server shed without running the request.
     std::uint64_t sheds = 0;
+    /// Tokens of workspace quotas that this entry instance granted, to itself and to others.
+    std::uint64_t quotaTokens = 0;
+    /// Requests refused because the quota of their workspace was used up.
+    std::uint64_t quotaRefusals = 0;
+    /// Requests that waited for a token of the quota of their workspace.
+    std::uint64_t quotaWaits = 0;
+    /// Waiting requests refused because others took their places in a full queue.
+    std::uint64_t displaced = 0;
+    /// Requests refused on arrival because they could not be done before their deadlines.
+    std::uint64_t refusedTooLate = 0;
+    /// Requests that waited and were sent although they were expected to miss their target latency.
+    std::uint64_t servedLate = 0;
+    /// Requests refused because they have no valid API key.
+    std::uint64_t apiKeysRejected = 0;
+    /// Requests refused because this instance cannot confirm its API keys.
+    std::uint64_t apiKeysUnconfirmed = 0;
 };
 
 } // namespace cornelwind
--- a/include/cornelwind/decision.h
+++ b/include/cornelwind/decision.h
@@ -60,10 +60,20 @@
     EntryInvalid,
     /// This entry instance starts or stops watching the platform for its availability zone.
     WatchChanged,
+    /// The sheet is known to be recent again, or no longer, so that API keys are accepted or refused.
+    ApiKeysConfirmed,
+    /// This entry instance takes over the quota of a workspace from another one.
+    QuotaTakenOver,
+    /// Requests of a workspace are refused, because its quota is used up.
+    QuotaUsedUp,
+    /// No request of the workspace has been refused for a while.
+    QuotaAvailable,
+    /// The platform's store was restored from an older copy.
+    StoreRestored,
 };
 
 /// Number of values of `DecisionKind`.
-inline constexpr std::size_t DECISION_KINDS = 25;
+inline constexpr std::size_t DECISION_KINDS = 30;
 
 /// @return the name used in logs, metrics and explanations
 const char* toString(DecisionKind);
@@ -72,7 +82,7 @@
 struct Decision {
     Time at;
     DecisionKind kind = DecisionKind::Refused;
-    /// Name of the backend server, service or entry instance concerned; `platform`; or the fingerprint of a request.
+    /// Name of the backend server, service, workspace or entry instance concerned; `platform`; or the fingerprint of a request.
     std::string subject;
     /// Observation that led to the decision.
     std::string evidence;
--- a/include/cornelwind/event.h
+++ b/include/cornelwind/event.h
@@ -37,6 +37,10 @@
     std::string_view host = {};
     /// Request name shown in the logs, as the caller sent it; may be empty.
     std::string_view label = {};
+    /// API key of the caller; nothing if the request has none, or more than one.
+    std::optional<std::string_view> apiKey = {};
+    /// Workspace that the entry instance found which forwarded the request; empty if there is none.
+    std::string_view workspace = {};
 };
 
 /// The whole body of a request was received.
@@ -44,6 +48,8 @@
     RequestId request;
     /// Hash of method, target and body.
     Fingerprint fingerprint;
+    /// Size of the body.
+    ByteCount bodySize {};
 };
 
 /// The body of a request could not be read to its end. Follows the `HeadReceived` of the request.
@@ -82,7 +88,7 @@
     TooLarge,
     /// The deadline of the try passed after writing began and before the response was complete.
     TimedOut,
-    /// A `CancelTry` ended the try after writing began.
+    /// A `CancelTry` ended the try after writing began, or the server did not read the request while memory was short.
     Cancelled,
 };
 
@@ -145,6 +151,20 @@
 struct PlatformReachable {
 };
 
+/// A call to the platform has ended. Every sheet that the platform acknowledged before it replied has been delivered, in events
+/// before this one.
+struct SheetConfirmed {
+    /// When the call was made.
+    Time calledAt;
+    /// Time for which the platform held the reply back; zero if it may have replied at once.
+    Duration held {};
+};
+
+/// The system was suspended. The clock of `Event::at` did not count that time.
+struct SystemSuspended {
+    Duration time {};
+};
+
 /// The calls of this entry instance to the platform fail.
 struct PlatformUnreachable {
 };
@@ -152,11 +172,11 @@
 /// The platform published new, changed or removed backend servers.
 struct ServersPublished {
     std::vector<ServerChange> changes;
-    /// Every change of a server up to this revision of the platform's store is contained, here or in events before.
-    StoreRevision revision;
+    /// Every change of a server up to this position of the platform's store is contained, here or in events before.
+    StorePosition position;
     /// Whether `changes` is the complete list, so that servers missing from it are removed.
     bool complete = false;
-    /// The pages in which a complete list was read, in order. `revision` is that of the first page; later pages may contain
+    /// The pages in which a complete list was read, in order. `position` is that of the first page; later pages may contain
     /// later changes. If empty, the list was read at once.
     std::vector<ListedPage> pages {};
     /// What is wrong with items of the platform that name no server, one text each.
@@ -191,7 +211,7 @@
 };
 
 using EventBody = std::variant<HeadReceived, BodyReceived, ReceiveFailed, CallerDisconnected, KeysRequested, TryFinished, OwnerReplied,
-    PeerMessageReceived, SheetFetched, InstancesListed, ServersListed, ServersPublished, PlatformReachable, PlatformUnreachable, SettingsChanged, ProbeFinished, StopRequested, Tick>;
+    PeerMessageReceived, SheetFetched, InstancesListed, ServersListed, ServersPublished, PlatformReachable, SheetConfirmed, SystemSuspended, PlatformUnreachable, SettingsChanged, ProbeFinished, StopRequested, Tick>;
 
 /// An input of the reducer.
 struct Event {
--- a/include/cornelwind/request_record.h
+++ b/include/cornelwind/request_record.h
@@ -45,6 +45,8 @@
     /// Rule of the sheet that the request matches, and whether that rule declares it idempotent.
     std::string rule;
     bool idempotent = false;
+    /// Workspace that the request belongs to; empty if there is none.
+    std::string workspace;
     /// Backend server concerned; empty if there is none.
     std::string server;
     /// Version of the sheet that the request is routed by.
@@ -74,7 +76,8 @@
     Duration elapsed {};
     /// SendFailed and Answered: HTTP status of the backend server; 0 without a response.
     std::uint16_t status = 0;
-    /// NotSentAgain: why the request is not retried.
+    /// NotSentAgain: why the request is not retried. Refused: why the queue of the service refused it; empty if it did not.
+    /// Placed: why it is sent late; empty if it is not.
     const char* reason = "";
     /// Refused: error, outcome and retry time sent to the caller.
     ErrorKind error = ErrorKind::None;
--- a/include/cornelwind/settings.h
+++ b/include/cornelwind/settings.h
@@ -48,6 +48,15 @@
     /// Time within which every entry instance that reaches the platform has to follow a change there; `DEFAULT_CHANGE_DEADLINE` if
     /// the platform sets none.
     std::optional<Millis> changeDeadline;
+    /// Time after which no entry instance may accept an API key that the sheet no longer lists, also one that reaches neither the
+    /// platform nor other instances. Empty if such an instance may go on with the sheet that it knows.
+    std::optional<Millis> keyRevocationDeadline;
+    /// Window in which the requests of a workspace are counted for its quota.
+    Millis quotaWindow { 5000 };
+    /// Part of a quota by which all entry instances together may exceed it while they do not agree on who grants it.
+    double quotaOver = 0.25;
+    /// Requests by which they may exceed it beyond that.
+    double quotaSlack = 20;
     /// Listen address for the readiness checks of the balancer; empty if it sends them to the callers' listener.
     std::optional<Endpoint> readiness;
     /// Address of the trace collector; empty if no traces are exported.
@@ -64,6 +73,9 @@
     ByteCount maxHead { 16 * 1024 };
     /// Memory that the process may use.
     ByteCount memory { 512ULL * 1024 * 1024 };
+    /// Maximum number of bytes of request bodies that this entry instance has in flight at one backend server. A request beyond it
+    /// waits or goes to another server; a larger one is sent only while no other body is in flight there.
+    ByteCount serverBodyBytes { 8 * 1024 * 1024 };
     /// Maximum time to receive the head of a request, and again to receive its whole body. Each of the two timers is
     /// started once; arriving bytes do not restart it. The limits in a sheet can replace the first.
     Millis receiveTimeout { 5000 };
--- a/src/decision/gossip.h
+++ b/src/decision/gossip.h
@@ -4,6 +4,7 @@
 #include "context.h"
 #include "member_table.h"
 #include "platform_contact.h"
+#include "workspaces/configuration_confirmation.h"
 
 #include <cstdint>
 #include <memory>
@@ -40,6 +41,8 @@
         bool platformIsCurrent = false;
         /// See `Settings::changeDeadline`.
         Duration changeDeadline {};
+        /// Oldest confirmation of the sheet with which API keys are accepted; see `ConfigurationConfirmation`.
+        std::optional<Duration> maxConfirmationAge {};
     };
 
     Gossip(Identity identity, MemberTable& members, ActiveSheet& activeSheet);
@@ -68,12 +71,12 @@
     /// current; the members of other platforms check the contact seldom.
     void announceContact(Context& context);
 
-    /// Sets the revision of the published servers that messages state from now on.
-    void setServersRevision(StoreRevision revision) { m_serversRevision = revision; }
-    /// @return the highest revision of the published servers that any member has stated
-    StoreRevision highestPeerRevision() const { return m_highestPeerRevision; }
+    /// Sets the position of the published servers that messages state from now on.
+    void setServersPosition(StorePosition position) { m_serversPosition = position; }
+    /// @return the latest position of the published servers that any member has stated
+    StorePosition latestPeerPosition() const { return m_latestPeerPosition; }
     /// @return the member that stated it last, which is the likeliest to answer
-    const InstanceName& highestRevisionPeer() const { return m_highestRevisionPeer; }
+    const InstanceName& latestPositionPeer() const { return m_latestPositionPeer; }
 
     void setSeeds(std::vector<Endpoint> seeds) { m_identity.seeds = std::move(seeds); }
     /// States `MemberState::Leaving` in all messages from now on.
@@ -86,6 +89,12 @@
     void platformUnreachable(Context& context);
     /// @return which entry instances of the availability zone are in contact with the platform
     const PlatformContact& contact() const { return m_contact; }
+    /// Records that every sheet that the platform acknowledged before `held` after `calledAt` is known here.
+    void confirmSheet(Time calledAt, Duration held, Time now) { m_confirmation.confirm(calledAt, held, now); }
+    /// @return up to when the sheet here is known to be the latest
+    const ConfigurationConfirmation& confirmation() const { return m_confirmation; }
+    /// Counts a time in which the system was suspended toward the age of the confirmation, and of calls and pings under way.
+    void onSuspended(Duration time, Time now) { m_confirmation.onSuspended(time, now); }
     /// @return whether the start is complete: each entry instance that the platform lists has been heard of, or
     ///     the platform is always current, or the time to wait for them is over
     bool joined(Time now) const;
@@ -111,6 +120,10 @@
     /// Asks other members to ping a target that did not answer. Marks it as suspected if they get no answer either.
     void checkProbeTimeouts(Context& context);
     void probe(MemberRecord& member, Context& context);
+    /// Pings the member that has heard from the platform last, if the confirmation of the sheet grows old.
+    void refreshConfirmation(Context& context);
+    /// Confirms the sheet by what the target of a ping states in reply.
+    void confirmBy(const peer::Ack& ack, Time pingSentAt, Time now);
     void probeIndirectly(Probe& probe, Context& context);
     void pingSeeds(Context& context);
     void onPing(const peer::Ping& ping, MemberRecord& sender, Context& context);
@@ -121,19 +134,22 @@
     MemberTable& m_members;
     ActiveSheet& m_activeSheet;
     PlatformContact m_contact;
+    ConfigurationConfirmation m_confirmation;
+    Time m_nextConfirmationPing;
     /// Answer of the platform that the zone was told of last.
     std::optional<Time> m_announcedContact;
     std::vector<Probe> m_probes;
     /// Target of the latest probe; the next round continues after it by name.
     InstanceName m_lastProbed;
-    /// Sequence number of the latest ping.
-    std::uint64_t m_sequence = 0;
+    /// Sequence number of the latest ping. It starts at the incarnation, so that no acknowledgement of a ping of an earlier start
+    /// matches.
+    std::uint64_t m_sequence;
     Time m_start;
     Time m_nextRound;
     Time m_sheetRequestedAt;
-    StoreRevision m_serversRevision;
-    StoreRevision m_highestPeerRevision;
-    InstanceName m_highestRevisionPeer;
+    StorePosition m_serversPosition;
+    StorePosition m_latestPeerPosition;
+    InstanceName m_latestPositionPeer;
     bool m_leaving = false;
     bool m_started = false;
 };
--- a/src/decision/reducer_state.cpp
+++ b/src/decision/reducer_state.cpp
@@ -18,9 +18,18 @@
     // Minimum time between two attempts to catch up.
     constexpr Duration CATCH_UP_INTERVAL = std::chrono::milliseconds(300);
 
+    // The rest of the deadline covers clocks of different speed.
+    std::optional<Duration> maxConfirmationAge(const Settings& settings)
+    {
+        constexpr std::int64_t percentOfDeadline = 90;
+        if (!settings.keyRevocationDeadline)
+            return std::nullopt;
+        return Duration { *settings.keyRevocationDeadline } * percentOfDeadline / 100;
+    }
+
     Gossip::Identity makeIdentity(const Settings& settings, Incarnation incarnation)
     {
-        return { settings.name, settings.zone, settings.advertised.value_or(settings.peers), incarnation, settings.seeds, settings.platformForm == PlatformForm::Store, settings.changeDeadline.value_or(Settings::DEFAULT_CHANGE_DEADLINE) };
+        return { settings.name, settings.zone, settings.advertised.value_or(settings.peers), incarnation, settings.seeds, settings.platformForm == PlatformForm::Store, settings.changeDeadline.value_or(Settings::DEFAULT_CHANGE_DEADLINE), maxConfirmationAge(settings) };
     }
 
     KeyRegistry::Limits makeKeyLimits(const Settings& settings)
@@ -37,7 +46,8 @@
     , m_members(settings.name, settings.zone, settings.peerRoutes)
     , m_gossip(makeIdentity(settings, incarnation), m_members, m_activeSheet)
     , m_health({ m_pool, m_quarantine, m_members, m_gossip, m_losses })
-    , m_flow({ m_pool, m_losses, m_keys, m_quarantine, m_health, m_members,
+    , m_quotas({ m_members, m_gossip }, { settings.quotaOver, settings.quotaSlack, settings.quotaWindow })
+    , m_flow({ m_pool, m_losses, m_keys, m_quarantine, m_health, m_members, m_gossip.confirmation(), m_quotas,
           [this](ServerId server, std::uint64_t incarnation, const ServerNotice& notice, Context& context) { m_notices.onNotice(server, incarnation, notice, context); },
           [this](Fingerprint fingerprint, Context& context) { m_health.onCrash(fingerprint, context); } })
     , m_serverLimits({ m_pool, m_members, m_gossip })
@@ -46,6 +56,7 @@
     , m_serversPublishedSeparately(settings.platformForm == PlatformForm::Store)
 {
     m_flow.setRetryAllowance(settings.fleetRetryAllowance);
+    m_pool.setMaxBodyBytes(settings.serverBodyBytes);
 }
 
 void Reducer::State::apply(const Event& event, EffectList& effects)
@@ -65,7 +76,7 @@
     if (m_serverRegistry.onPublished(event, context))
         adoptSheetWithServers(context);
     notifyZoneOfServers(context);
-    m_gossip.setServersRevision(m_serverRegistry.revision());
+    m_gossip.setServersPosition(m_serverRegistry.position());
 }
 
 void Reducer::State::on(const ProbeFinished& event, Context& context)
@@ -114,6 +125,8 @@
     if (!sender)
         return;
     const peer::Envelope& message = *event.message;
+    if (onQuotaMessage(message, *sender, context))
+        return m_flow.onQuotaDecisions(context);
     if (message.has_evidence())
         m_health.onEvidence(message.evidence(), *sender, context);
     else if (message.has_outcomes())
@@ -147,9 +160,31 @@
         m_drain.onMessage(message, *sender, context);
 }
 
+bool Reducer::State::onQuotaMessage(const peer::Envelope& message, const MemberRecord& sender, Context& context)
+{
+    switch (message.body_case()) {
+    case peer::Envelope::kQuotaRequest:
+        m_quotas.onRequest(message.quota_request(), sender, context);
+        return true;
+    case peer::Envelope::kQuotaReply:
+        m_quotas.onReply(message.quota_reply(), sender, context);
+        return true;
+    case peer::Envelope::kQuotaReturn:
+        m_quotas.onReturn(message.quota_return(), sender, context);
+        return true;
+    case peer::Envelope::kQuotaHandover:
+        m_quotas.onHandover(message.quota_handover(), sender, context);
+        return true;
+    default:
+        return false;
+    }
+}
+
 void Reducer::State::on(const Tick&, Context& context)
 {
     m_gossip.onTick(context);
+    m_quotas.onTick(context);
+    m_flow.onQuotaDecisions(context);
     m_flow.onTick(context);
     m_serverLimits.onTick(context);
     m_flow.dispatchQueues(context);
@@ -177,7 +212,9 @@
 void Reducer::State::adopt(const SheetPtr& sheet, Context& context)
 {
     m_pool.applySheet(*sheet, context.now());
+    m_quotas.adopt(*sheet, context);
     m_flow.adopt(sheet);
+    m_flow.onQuotaDecisions(context);
     m_health.adopt(sheet);
     if (sheet->callers && sheet->callers != m_callerLimits) {
         m_callerLimits = sheet->callers;
@@ -197,7 +234,7 @@
     if (m_serverRegistry.onTick(context))
         adoptSheetWithServers(context);
     notifyZoneOfServers(context);
-    if (m_gossip.highestPeerRevision() <= m_serverRegistry.revision()) {
+    if (m_gossip.latestPeerPosition() <= m_serverRegistry.position()) {
         m_laggingSince.reset();
         return;
     }
@@ -213,12 +250,12 @@
 // revision. If it has no working watch or has already asked for this revision, it asks a peer for the list.
 void Reducer::State::catchUp(Context& context)
 {
-    if (m_watch.enabled && m_serverRegistry.reachable() && m_gossip.highestPeerRevision() != m_refreshRequestedFor) {
-        m_refreshRequestedFor = m_gossip.highestPeerRevision();
+    if (m_watch.enabled && m_serverRegistry.reachable() && m_gossip.latestPeerPosition() != m_refreshRequestedFor) {
+        m_refreshRequestedFor = m_gossip.latestPeerPosition();
         context.emit(RefreshPublished {});
         return;
     }
-    MemberRecord* source = m_members.find(m_gossip.highestRevisionPeer());
+    MemberRecord* source = m_members.find(m_gossip.latestPositionPeer());
     if (!source)
         return;
     auto message = std::make_shared<peer::Envelope>();
@@ -243,7 +280,7 @@
 {
     if (m_serverRegistry.onPeerUpdate(update, context))
         adoptSheetWithServers(context);
-    m_gossip.setServersRevision(m_serverRegistry.revision());
+    m_gossip.setServersPosition(m_serverRegistry.position());
 }
 
 void Reducer::State::sendServerList(const peer::ServersRequest& request, const MemberRecord& to, Context& context)
@@ -262,7 +299,7 @@
         return;
     if (m_serverRegistry.onPeerList(reply, context))
         adoptSheetWithServers(context);
-    m_gossip.setServersRevision(m_serverRegistry.revision());
+    m_gossip.setServersPosition(m_serverRegistry.position());
 }
 
 void Reducer::State::sendSheet(const MemberRecord& to, Context& context)
@@ -279,7 +316,7 @@
     if (m_watch.enabled)
         m_gossip.announceContact(context);
     const Millis refresh = std::max<Millis>(MIN_LIST_REFRESH, LIST_REFRESH_PER_INSTANCE * (1 + m_members.liveCount()));
-    const WatchPlatform before = std::exchange(m_watch, { m_gossip.contact().shouldWatch(context.now()), refresh, m_gossip.contact().watchWait(context.now()) });
+    const WatchPlatform before = std::exchange(m_watch, { m_gossip.contact().shouldWatch(context.now()), refresh, m_gossip.contact().watchWait(context.now()), m_serverRegistry.era() });
     if (m_watch == before)
         return;
     context.emit(m_watch);
@@ -303,13 +340,45 @@
 // bring an old sheet into force.
 void Reducer::State::updateReady(Context& context)
 {
-    if (m_ready || m_drain.stopping() || !m_activeSheet.current() || !m_gossip.joined(context.now()))
+    if (m_drain.stopping() || !m_activeSheet.current())
+        return;
+    if (m_started)
+        return reportApiKeysConfirmed(context);
+    if (!m_gossip.joined(context.now()))
         return;
     if (m_serversPublishedSeparately && !m_serverRegistry.hasServerList())
         return;
-    m_ready = true;
+    m_started = true;
     m_flow.startAccepting();
-    context.emit(SetReady { true });
+    // Public rules are served without a confirmation too.
+    m_ready = keysConfirmed(context.now());
+    if (m_ready)
+        context.emit(SetReady { true });
+}
+
+bool Reducer::State::keysConfirmed(Time now) const
+{
+    return !m_activeSheet.current()->workspaces || m_gossip.confirmation().holds(now);
+}
+
+// An instance that does not know whether API keys are still valid refuses most requests, so the balancer should not send it any.
+void Reducer::State::reportApiKeysConfirmed(Context& context)
+{
+    const bool confirmed = keysConfirmed(context.now());
+    if (confirmed == m_ready)
+        return;
+    m_ready = confirmed;
+    const auto age = m_gossip.confirmation().age(context.now());
+    context.report(DecisionKind::ApiKeysConfirmed, "sheet", confirmed ? "confirmed again; requests with API keys are accepted" : "not confirmed; requests with API keys are refused",
+        age ? "last confirmed " + std::to_string(std::chrono::duration_cast<Millis>(*age).count()) + " ms ago" : "never confirmed");
+    context.emit(SetReady { confirmed });
+}
+
+Counters Reducer::State::counters() const
+{
+    Counters counters = m_flow.counters();
+    counters.quotaTokens = m_quotas.granted();
+    return counters;
 }
 
 Status Reducer::State::status(Time now) const
@@ -324,12 +393,18 @@
     status.zoneContactAge = m_gossip.contact().latestOfZone(now).age;
     status.requests = m_flow.size();
     status.keys = m_keys.size();
+    status.confirmationAge = m_gossip.confirmation().age(now);
     for (const auto& [name, member] : m_members.records())
         status.members.push_back({ name, member.zone, toString(member.state), member.listed, member.answersDirectly });
     if (!m_activeSheet.current())
         return status;
     status.sheet = m_activeSheet.current()->version;
     status.sheetAge = now - m_activeSheet.adoptedAt();
+    status.apiKeysConfirmed = keysConfirmed(now);
+    if (const WorkspaceDirectoryPtr& workspaces = m_activeSheet.current()->workspaces) {
+        status.workspaces = workspaces->all().size();
+        status.apiKeys = workspaces->keyCount();
+    }
     for (std::uint32_t i = 0; i < m_pool.serviceCount(); ++i) {
         for (const Server* server : m_pool.servers(i)) {
             const ServerAssessment assessment = m_health.assess(server->id);
--- a/src/decision/reducer_state.h
+++ b/src/decision/reducer_state.h
@@ -29,7 +29,7 @@
     void apply(const Event& event, EffectList& effects);
     void setSender(peer::Envelope& message) const { m_gossip.setSender(message); }
     Status status(Time now) const;
-    const Counters& counters() const { return m_flow.counters(); }
+    Counters counters() const;
     std::vector<Decision> explain(const std::string& subject, std::size_t maxCount) const { return m_decisions.matching(subject, maxCount); }
 
 private:
@@ -43,6 +43,8 @@
     void on(const ServersListed& event, Context& context) { m_health.onServersListed(event, context); }
     void on(const StopRequested&, Context& context) { m_drain.onStopRequested(context); }
     void on(const PlatformReachable&, Context& context) { platformAnswered(context); }
+    void on(const SheetConfirmed& event, Context& context) { m_gossip.confirmSheet(event.calledAt, event.held, context.now()); }
+    void on(const SystemSuspended& event, Context& context) { m_gossip.onSuspended(event.time, context.now()); }
     void on(const SettingsChanged& event, Context&) { m_gossip.setSeeds(event.seeds); }
     void on(const PlatformUnreachable& event, Context& context);
     void on(const ServersPublished& event, Context& context);
@@ -52,6 +54,10 @@
     void on(const PeerMessageReceived& event, Context& context);
     void on(const Tick&, Context& context);
 
+    /// Handles the messages of the quotas of workspaces.
+    ///
+    /// @return false if it is another message
+    bool onQuotaMessage(const peer::Envelope& message, const MemberRecord& sender, Context& context);
     void platformAnswered(Context& context);
     void offerSheet(const std::string& text, const std::string& source, Context& context);
     void adopt(const SheetPtr& sheet, Context& context);
@@ -66,6 +72,9 @@
     void updateWatch(Context& context);
     void reportWatch(Context& context) const;
     void updateReady(Context& context);
+    /// @return whether the API keys of the sheet may be accepted, if it lists any
+    bool keysConfirmed(Time now) const;
+    void reportApiKeysConfirmed(Context& context);
 
     KeyRegistry m_keys;
     Quarantine m_quarantine;
@@ -76,6 +85,7 @@
     MemberTable m_members;
     Gossip m_gossip;
     Health m_health;
+    WorkspaceQuotas m_quotas;
     RequestFlow m_flow;
     ServerLimitExchange m_serverLimits;
     ServerNotices m_notices;
@@ -84,10 +94,13 @@
     std::optional<CallerLimits> m_callerLimits;
     std::optional<Time> m_laggingSince;
     Time m_nextCatchUp;
-    StoreRevision m_refreshRequestedFor;
+    StorePosition m_refreshRequestedFor;
     bool m_serversPublishedSeparately;
     /// The latest order to the platform source.
     WatchPlatform m_watch {};
+    /// Whether requests are accepted since the start is complete.
+    bool m_started = false;
+    /// Whether the balancer is told to send requests.
     bool m_ready = false;
 };
 
--- a/src/decision/request_flow.cpp
+++ b/src/decision/request_flow.cpp
@@ -1,5 +1,7 @@
 #include "request_flow.h"
 
+#include "workspaces/api_key_check.h"
+
 #include <algorithm>
 #include <cmath>
 #include <utility>
@@ -33,6 +35,7 @@
         setBurst(*service);
     }
     std::erase_if(m_services, [](const auto& row) { return !row.second->index && row.second.use_count() == 1; });
+    adoptQueueOrders();
 }
 
 // The whole fleet shares the allowance. A part of it stays reserved for instances that restart.
@@ -110,6 +113,8 @@
         return refuse(request, { ErrorKind::NoRoute, outcomeBeforeSend, {} }, context);
     request.sheet = m_sheet;
     request.rule = &m_sheet->rules[*rule];
+    if (const auto refusal = checkWorkspace(request, event, context))
+        return refuse(request, *refusal, context);
     request.service = findOrCreateService(*m_sheet, chooseService(*request.rule, context));
     if (m_refusesNewWithoutKeys && !needsKey(request))
         return refuse(request, { ErrorKind::Draining, Outcome::NotRun, DRAINING_RETRY_AFTER }, context);
@@ -122,18 +127,52 @@
     context.emit(ReadBody { request.id, request.rule->maxBody });
 }
 
+std::optional<RequestFlow::Refusal> RequestFlow::checkWorkspace(Request& request, const HeadReceived& event, Context& context)
+{
+    if (event.forwarded) {
+        request.forwardedWorkspace = WorkspaceName { std::string(event.workspace) };
+        request.workspace = m_sheet->workspaces ? m_sheet->workspaces->findByName(request.forwardedWorkspace) : nullptr;
+        return std::nullopt;
+    }
+    const bool confirmed = m_dependencies.sheetConfirmation.holds(context.now());
+    const ApiKeyVerdict verdict = checkApiKey(*m_sheet, *request.rule, event.apiKey, confirmed);
+    request.workspace = verdict.workspace;
+    if (verdict.error == ErrorKind::None)
+        return std::nullopt;
+    const Outcome outcome = event.key ? Outcome::Unknown : Outcome::NotRun;
+    if (verdict.error == ErrorKind::ApiKeyRejected) {
+        ++m_counters.apiKeysRejected;
+        return Refusal { verdict.error, outcome, {} };
+    }
+    ++m_counters.apiKeysUnconfirmed;
+    // Another entry instance is likely to know the latest sheet.
+    const Duration remaining = event.remaining.value_or(request.rule->timeLimit);
+    return Refusal { verdict.error, outcome, retryAfter({ RefusalCause::Unreachable, {}, {}, remaining }, context.random()) };
+}
+
+std::uint32_t RequestFlow::priorityOf(const Request& request)
+{
+    return request.workspace ? request.workspace->priority.value_or(request.rule->priority) : request.rule->priority;
+}
+
+WorkspaceLabel RequestFlow::labelOf(const Request& request)
+{
+    return { request.sheet->workspaces != nullptr, request.workspace ? request.workspace->name : request.forwardedWorkspace };
+}
+
 void RequestFlow::onBody(const BodyReceived& event, Context& context)
 {
     Request* request = find(event.request);
     if (!request || request->phase != Phase::Receiving)
         return;
     request->fingerprint = event.fingerprint;
+    request->bodySize = event.bodySize;
     request->admittedAt = context.now();
     m_timers.push({ request->deadline, request->id, TimerKind::Deadline });
     if (request->key)
         return beginKeyed(*request, context);
     request->service->budget.deposit();
-    admit(*request, context);
+    takeQuotaToken(*request, context);
 }
 
 void RequestFlow::onReceiveFailed(const ReceiveFailed& event, Context& context)
@@ -143,7 +182,8 @@
         return;
     // This request did not use its key, but an earlier request with the same key may have run.
     const Outcome outcome = request->key ? Outcome::Unknown : Outcome::NotRun;
-    refuse(*request, { event.error, outcome, {} }, context);
+    const std::optional<Millis> retryAfter = event.error == ErrorKind::MemoryShort ? std::optional(RETRY_AFTER) : std::nullopt;
+    refuse(*request, { event.error, outcome, retryAfter }, context);
 }
 
 void RequestFlow::completeRequest(Request& request, const KeyResult& result, std::optional<Millis> retryAfter, Context& context)
@@ -199,6 +239,7 @@
     record.error = error;
     record.outcome = result.outcome;
     record.retryAfter = retryAfter;
+    record.reason = request.queueReason;
     context.emit(RecordRequest { std::move(record) });
     context.emit(Refuse { request.id, error, result.outcome, retryAfter, std::move(nextKey) });
     context.report(DecisionKind::Refused, request.service ? request.service->name.value() : std::string("unrouted"),
@@ -207,7 +248,7 @@
 
 void RequestFlow::countResult(const Request& request, const KeyResult& result, Time now)
 {
-    if (!request.rule || request.usedAsTrial || !placedByCost(request))
+    if (!request.service || request.usedAsTrial || !placedByCost(request))
         return;
     const bool served = result.response && !isFailure(request, *result.response);
     m_dependencies.losses.recordOwn(request.service->id, served, now);
@@ -218,6 +259,7 @@
     const Request* request = find(id);
     if (!request || !request->answered || request->activeCount)
         return;
+    returnQuotaToken(*request, context);
     m_requests.erase(id);
     context.emit(ReleaseRequest { id });
 }
@@ -237,9 +279,10 @@
     const RequestId id = request.id;
     request.answered = true;
     const bool atMostOnce = request.rule && request.rule->kind == RequestKind::AtMostOnce;
-    if (request.phase == Phase::Queued && !request.runsOnUntil)
+    const bool waits = request.phase == Phase::Queued || request.phase == Phase::AwaitingQuota;
+    if (waits && !request.runsOnUntil)
         return leaveQueue(request, context);
-    if (atMostOnce && (request.phase == Phase::Queued || request.phase == Phase::Sent))
+    if (atMostOnce && (waits || request.phase == Phase::Sent))
         return;
     if (request.phase == Phase::Joined) {
         if (KeySpace* keySpace = m_dependencies.keys.find(request.key->incarnation))
@@ -252,7 +295,10 @@
 
 void RequestFlow::leaveQueue(Request& request, Context& context)
 {
-    request.service->queue.remove(request.id);
+    if (request.phase == Phase::AwaitingQuota)
+        m_dependencies.quotas.cancel(request.workspace->name, request.id, context);
+    else
+        request.service->queue->remove(request.id);
     completeRequest(request, { Outcome::NotRun, ErrorKind::DeadlinePassed, nullptr }, {}, context);
 }
 
@@ -280,10 +326,7 @@
         }
     }
     for (auto& [name, service] : m_services) {
-        for (const RequestId expired : service->queue.expire(context.now())) {
-            if (Request* request = find(expired))
-                completeRequest(*request, { Outcome::NotRun, ErrorKind::QueueTimeout, nullptr }, retryAfterOf(*request, RefusalCause::Full, context), context);
-        }
+        expireQueued(*service, context);
         dispatchQueue(*service, context);
     }
 }
@@ -295,6 +338,7 @@
         return;
     case Phase::Paused:
         return refuse(request, { ErrorKind::OwnerUnreachable, Outcome::Unknown, RETRY_AFTER }, context);
+    case Phase::AwaitingQuota:
     case Phase::Queued:
         return leaveQueue(request, context);
     case Phase::Sent:
--- a/src/decision/request_flow.h
+++ b/src/decision/request_flow.h
@@ -1,7 +1,8 @@
 #pragma once
 
+#include "admission/expected_work.h"
+#include "admission/request_queue.h"
 #include "context.h"
-#include "cornelwind/admission.h"
 #include "cornelwind/counters.h"
 #include "cornelwind/event.h"
 #include "cornelwind/quarantine.h"
@@ -13,6 +14,8 @@
 #include "loss_table.h"
 #include "peer_directory.h"
 #include "send_observer.h"
+#include "workspaces/configuration_confirmation.h"
+#include "workspaces/workspace_quotas.h"
 
 #include <array>
 #include <functional>
@@ -39,6 +42,8 @@
         Quarantine& quarantine;
         SendObserver& sendObserver;
         const PeerDirectory& peers;
+        const ConfigurationConfirmation& sheetConfirmation;
+        WorkspaceQuotas& quotas;
         /// Called with what the response of one incarnation of a backend server says of it.
         std::function<void(ServerId, std::uint64_t incarnation, const ServerNotice&, Context&)> onNotice;
         /// Called when a backend server closed the connection of a request without a response.
@@ -83,6 +88,8 @@
     void onOwnerReplied(const OwnerReplied& event, Context& context);
     /// Runs expired timers and sends queued requests.
     void onTick(Context& context);
+    /// Continues or refuses the requests that waited for a token of the quota of their workspace.
+    void onQuotaDecisions(Context& context);
     /// Sends queued requests, after servers have opened.
     void dispatchQueues(Context& context);
 
@@ -120,7 +127,10 @@
         SheetService config;
         /// Index in the sheet in force; nothing if the sheet no longer contains the service.
         std::optional<std::uint32_t> index;
-        AdmissionQueue queue;
+        /// Never null.
+        std::unique_ptr<RequestQueue> queue = makeArrivalQueue();
+        /// Work of the requests of each rule, by name; empty unless the queue orders by value.
+        std::unordered_map<std::string, WorkEstimate> works;
         RetryBudget budget;
         /// Usual time of a response.
         LatencyEstimate latency;
@@ -141,6 +151,8 @@
         Receiving,
         /// Held back while keys are handed over.
         Paused,
+        /// Waits for a token of the quota of its workspace.
+        AwaitingQuota,
         /// Waits in the queue of its service.
         Queued,
         /// At least one try was started.
@@ -171,6 +183,11 @@
         /// The sheet that the request is routed by; keeps `rule` valid.
         SheetPtr sheet;
         const SheetRule* rule = nullptr;
+        /// Null if the request belongs to no workspace, or to one that the sheet of the instance which forwarded it lists, but not
+        /// the sheet here.
+        const Workspace* workspace = nullptr;
+        /// Name that the instance stated which forwarded the request.
+        WorkspaceName forwardedWorkspace;
         ServicePtr service;
         Phase phase = Phase::Receiving;
         /// When the request was completely received.
@@ -185,11 +202,18 @@
         bool answered = false;
         /// Whether a try was the trial of a suspected server.
         bool usedAsTrial = false;
+        /// Whether it has a token of the quota of its workspace, which it gives back if it never reaches a backend server.
+        bool holdsQuotaToken = false;
+        /// Whether any byte of it may have reached a backend server.
+        bool wasSent = false;
         Fingerprint fingerprint;
+        ByteCount bodySize {};
         std::optional<ParsedKey> key;
         /// The servers tried, of which the first `triedServerCount` are set.
         std::array<ServerId, MAX_TRIED> tried;
         std::uint8_t triedServerCount = 0;
+        /// Why the queue of its service refused it, for the log; empty if it did not.
+        const char* queueReason = "";
         /// Number of tries started.
         std::uint8_t tryCount = 0;
         /// Tries that may have run the request: all but those known not to have done so.
@@ -229,6 +253,14 @@
     /// @return the handler for a result of a try
     static ResultHandler handlerFor(TryResult result);
 
+    /// Finds the workspace of a request, and checks its API key unless another entry instance has done so.
+    ///
+    /// @return a refusal if the key does not allow the request
+    std::optional<Refusal> checkWorkspace(Request& request, const HeadReceived& event, Context& context);
+    /// @return the priority of its workspace, or of its rule if that has none; 0 is the highest
+    static std::uint32_t priorityOf(const Request& request);
+    static WorkspaceLabel labelOf(const Request& request);
+
     // Idempotency keys.
     /// Parses and verifies the key where the rule requires one.
     ///
@@ -239,6 +271,13 @@
     void forward(Request& request, const KeyOwner& owner, Context& context);
     bool needsKey(const Request& request) const;
 
+    // Quotas of workspaces.
+    /// Admits a request with a token of the quota of its workspace, if that has one; lets it wait for one, or refuses it.
+    void takeQuotaToken(Request& request, Context& context);
+    void refuseOverQuota(Request& request, Duration untilToken, Context& context);
+    /// Gives the token of a request back that ends without having been sent.
+    void returnQuotaToken(const Request& request, Context& context);
+
     // Admission and tries.
     /// Sends a request at once, queues it or refuses it.
     void admit(Request& request, Context& context);
@@ -246,6 +285,27 @@
     std::optional<Refusal> refusalBeforeSend(const Request& request, Context& context) const;
     /// @return a refusal if no server opens before the request would be too late
     std::optional<Refusal> refusalOfWait(const Request& request, Context& context) const;
+    /// Lets a request wait for a slot, or refuses it.
+    void enqueue(Request& request, Context& context);
+    /// Refuses a request that waits, or that the queue did not admit.
+    void refuseQueued(Request& request, ErrorKind error, Millis retryAfter, const char* reason, Context& context);
+    /// Refuses the requests that waited until they could no longer be done in time.
+    void expireQueued(Service& service, Context& context);
+    /// @return the request as the queue of its service sees it
+    QueuedRequest queuedRequestOf(const Request& request, Time now) const;
+    /// @return the work of the request, unknown unless the queue of its service orders by value
+    static ExpectedWork expectedWork(const Request& request);
+    static bool ordersByValue(const Request& request) { return request.service->queue->ordersByValue(); }
+    /// @return whether a request of higher value waits for the slot that another try of this one would take
+    bool isOutranked(const Request& request, Time now) const;
+    /// Orders the queue by value or by arrival from now on; the requests that wait are kept.
+    void setQueueOrder(Service& service, bool byValue);
+    /// Sets the orders of all queues by the sheet.
+    void adoptQueueOrders();
+    /// Forgets the works of rules that the sheet no longer has.
+    void forgetWorks();
+    /// @return the target latency of the rule, or half its time limit if it has none
+    static Millis targetLatencyOf(const Request& request);
     /// Chooses a server and sends the request to it.
     ///
     /// @return false if no server may take the request now
@@ -281,10 +341,13 @@
     double acceptableRisk(const Request& request, Time now) const;
     /// @return number of requests that the chosen server may have in flight beyond its slots
     std::uint32_t allowedOvercommit(const Request& request, Time now) const;
+    /// @return time in which so many requests start at the recent rate of tries; zero if unknown
+    static Duration timeForStarts(const Service& service, std::size_t starts, Time now);
     /// @return expected time in the queue, computed from its length and the recent rate of tries; zero if unknown
-    Duration expectedWait(const Service& service, Time now) const;
+    static Duration expectedWait(const Service& service, Time now);
+    /// @param possibleAfter TooLate: time after which a request like this one can be done before its deadline
     /// @return retry time for the caller of a refused request
-    Millis retryAfterOf(const Request& request, RefusalCause cause, Context& context) const;
+    Millis retryAfterOf(const Request& request, RefusalCause cause, Context& context, Duration possibleAfter = {}) const;
     /// @return time until which a request may wait in the queue
     Time queueDeadline(const Request& request, Time now) const;
     /// Records tries beyond the latency bound and hedges an idempotent request.
@@ -366,6 +429,8 @@
     Time m_lastTick;
     /// When this process last resumed after it had been suspended or starved of CPU.
     Time m_resumedAt;
+    /// Mean quota of the workspaces of the sheet that have one, in requests a second; 1 if none has.
+    double m_meanQuota = 1;
     std::uint32_t m_retryAllowance = 0;
     std::uint32_t m_fleetSize = 1;
     /// Current point, from 0 to 1, of the sequence that splits the requests of a rule, by rule name.
--- a/src/decision/request_flow_records.cpp
+++ b/src/decision/request_flow_records.cpp
@@ -14,8 +14,10 @@
         record.rule = request.rule->name;
         record.idempotent = request.rule->kind == RequestKind::Idempotent;
     }
-    if (request.sheet)
+    if (request.sheet) {
         record.sheet = request.sheet->version;
+        record.workspace = labelOf(request).name.value();
+    }
     record.tries = request.tryCount;
     if (request.admittedAt > Time {})
         record.age = now - request.admittedAt;
@@ -32,6 +34,9 @@
     record.slots = server.config.slots.value();
     record.tryTime = tryDeadline - context.now();
     record.callerTime = request.deadline - context.now();
+    const bool waited = request.tryCount == 1 && context.now() > request.admittedAt;
+    if (ordersByValue(request) && waited && context.now() + expectedWork(request).most() > request.admittedAt + targetLatencyOf(request))
+        record.reason = "expected to miss its target latency";
     context.emit(RecordRequest { std::move(record) });
 }
 
--- a/src/shell/admin_handler.cpp
+++ b/src/shell/admin_handler.cpp
@@ -75,6 +75,10 @@
             { "watching", status.watching },
             { "sheet_version", status.sheet.value() },
             { "sheet_age_ms", toMillis(status.sheetAge) },
+            { "workspaces", status.workspaces },
+            { "api_keys", status.apiKeys },
+            { "api_keys_confirmed", status.apiKeysConfirmed },
+            { "confirmation_age_ms", status.confirmationAge ? json::value(toMillis(*status.confirmationAge)) : json::value() },
             { "platform_age_ms", toMillis(status.platformAge) },
             { "zone_contact_age_ms", toMillis(status.zoneContactAge) },
             { "requests", status.requests },
@@ -108,7 +112,7 @@
     exchange->readBody(MAX_BODY_BYTES);
 }
 
-void AdminHandler::onBody(const HttpExchangePtr& exchange, std::string)
+void AdminHandler::onBody(const HttpExchangePtr& exchange, SharedBody)
 {
     exchange->respond(serve(exchange->head()));
 }
--- a/src/shell/metrics.cpp
+++ b/src/shell/metrics.cpp
@@ -61,6 +61,14 @@
         families.counter("cornelwind_joined_total", "Requests that waited for the result of an earlier request with the same idempotency key.", counters.joined);
         families.counter("cornelwind_repeated_total", "Requests answered with the stored response of their idempotency key.", counters.repeated);
         families.counter("cornelwind_sheds_total", "Tries that a backend server shed without running the request.", counters.sheds);
+        families.counter("cornelwind_quota_tokens_total", "Tokens of workspace quotas granted by this instance, to itself and to others.", counters.quotaTokens);
+        families.counter("cornelwind_quota_refusals_total", "Requests refused because the quota of their workspace was used up.", counters.quotaRefusals);
+        families.counter("cornelwind_quota_waits_total", "Requests that waited for a token of the quota of their workspace.", counters.quotaWaits);
+        families.counter("cornelwind_displaced_total", "Waiting requests refused because others took their places in a full queue.", counters.displaced);
+        families.counter("cornelwind_refused_too_late_total", "Requests refused on arrival because they could not be done before their deadlines.", counters.refusedTooLate);
+        families.counter("cornelwind_served_late_total", "Requests that waited and were sent although expected to miss their target latency.", counters.servedLate);
+        families.counter("cornelwind_api_keys_rejected_total", "Requests refused because they have no valid API key.", counters.apiKeysRejected);
+        families.counter("cornelwind_api_keys_unconfirmed_total", "Requests refused because this instance cannot confirm its API keys.", counters.apiKeysUnconfirmed);
     }
 
     void addIdleServers(MetricFamilies& families, const Status& status)
@@ -110,6 +118,11 @@
         families.gauge("cornelwind_zone_contact_age_seconds", "Time since an instance of the availability zone last reached the platform, in seconds.", seconds(status.zoneContactAge));
         families.gauge("cornelwind_requests_in_progress", "Requests currently in progress.", static_cast<double>(status.requests));
         families.gauge("cornelwind_keys_used", "Idempotency keys currently stored.", static_cast<double>(status.keys));
+        families.gauge("cornelwind_workspaces", "Workspaces that the routing configuration (sheet) lists.", static_cast<double>(status.workspaces));
+        families.gauge("cornelwind_api_keys", "API keys that the routing configuration (sheet) lists.", static_cast<double>(status.apiKeys));
+        families.gauge("cornelwind_api_keys_confirmed", "1 if requests with API keys are accepted, else 0.", status.apiKeysConfirmed);
+        if (status.confirmationAge)
+            families.gauge("cornelwind_confirmation_age_seconds", "Time since the moment up to which this instance knows every routing configuration (sheet), in seconds.", seconds(*status.confirmationAge));
         MetricFamily& scores = families.family("cornelwind_server_score", "Evidence that a backend server is unhealthy (log-likelihood ratio), in nats.", MetricType::Gauge);
         MetricFamily& states = families.family("cornelwind_server_standing", "1 for the current standing of a backend server.", MetricType::Gauge);
         for (const ServerStatus& server : status.servers) {
@@ -132,6 +145,24 @@
         }
     }
 
+    void addMemory(MetricFamilies& families, const IoStats& stats)
+    {
+        MetricFamily& bytes = families.family("cornelwind_body_bytes", "Bytes of request and response bodies held in memory, by kind.", MetricType::Gauge);
+        for (std::size_t i = 0; i < MEMORY_KINDS; ++i) {
+            ClientMetric metric;
+            metric.label = { { "kind", toString(static_cast<MemoryKind>(i)) } };
+            metric.gauge.value = static_cast<double>(stats.bodyBytes.at(i));
+            bytes.metric.push_back(metric);
+        }
+        MetricFamily& ended = families.family("cornelwind_ended_for_memory_total", "Transfers of bodies ended because all bodies together took too much memory, by direction.", MetricType::Counter);
+        for (std::size_t i = 0; i < TRANSFERS; ++i) {
+            ClientMetric metric;
+            metric.label = { { "transfer", toString(static_cast<Transfer>(i)) } };
+            metric.counter.value = static_cast<double>(stats.endedForMemory.at(i));
+            ended.metric.push_back(metric);
+        }
+    }
+
 } // namespace
 
 std::string renderMetrics(const Status& status, const Counters& counters, const IoStats& stats, std::vector<prometheus::MetricFamily> requests)
@@ -146,7 +177,8 @@
     families.counter("cornelwind_platform_calls_total", "Calls made to the platform.", stats.platformCalls);
     families.counter("cornelwind_spans_dropped_total", "Trace spans dropped without export.", stats.spansDropped);
     families.gauge("cornelwind_response_bytes", "Bytes of responses held in memory.", static_cast<double>(stats.responseBytes));
-    families.counter("cornelwind_responses_over_memory_total", "Responses of backend servers given up because all responses together took too much memory.", stats.responsesOverMemory);
+    families.counter("cornelwind_responses_over_memory_total", "Responses of backend servers given up because all bodies together took too much memory.", stats.responsesOverMemory);
+    addMemory(families, stats);
     MetricFamily& decisions = families.family("cornelwind_decisions_total", "Decisions made, by kind.", MetricType::Counter);
     for (std::size_t i = 0; i < stats.decisions.size(); ++i) {
         ClientMetric metric;
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -303,7 +303,7 @@
 TEST_CASE("Platform limits are applied by name, and an invalid value is reported")
 {
     Settings settings;
-    settings.platformLimits = { "graceS=6", "drainS=2", "configS=2.5", "retryBudgetRatio=0.2", "budgetSlack=58", "memoryMb=624.5", "unknown=x" };
+    settings.platformLimits = { "graceS=6", "drainS=2", "configS=2.5", "retryBudgetRatio=0.2", "budgetSlack=58", "memoryMb=624.5", "unknown=x", "quotaWindowS=4", "quotaOver=0.5", "quotaSlack=7" };
     Reasons reasons;
     CHECK(platform::applyLimits(settings, reasons));
     CHECK(settings.shutdownTimeout == Millis { 5600 });
@@ -311,6 +311,9 @@
     CHECK(settings.fleetRetryAllowance == 58);
     CHECK(settings.changeDeadline == Millis { 2000 });
     CHECK(settings.memory == ByteCount { 624'500'000 });
+    CHECK(settings.quotaWindow == Millis { 4000 });
+    CHECK(settings.quotaOver == 0.5);
+    CHECK(settings.quotaSlack == 7);
     settings.platformLimits = { "graceS=soon" };
     CHECK_FALSE(platform::applyLimits(settings, reasons));
     CHECK(reasons.front().detail == "graceS=soon");
@@ -344,12 +347,12 @@
     CHECK(list.complete);
     CHECK(list.changes.size() == 2);
     // Entries may change between the pages, so the list contains every change only up to the first page's revision.
-    CHECK(list.revision == StoreRevision { 11 });
+    CHECK(list.position == StorePosition { {}, StoreRevision { 11 } });
     REQUIRE(list.pages.size() == 2);
     CHECK(list.pages[0].last == ServerName { "a" });
-    CHECK(list.pages[0].asOf == StoreRevision { 11 });
+    CHECK(list.pages[0].asOf == StorePosition { {}, StoreRevision { 11 } });
     CHECK_FALSE(list.pages[1].last);
-    CHECK(list.pages[1].asOf == StoreRevision { 14 });
+    CHECK(list.pages[1].asOf == StorePosition { {}, StoreRevision { 14 } });
     // The watch starts at the first read's revision, so it reports changes made between the reads.
     CHECK(fixture.respond(okReply(15, { serverChange(12, "c"), sheetChange(15) })) == "watch 10");
     CHECK(fixture.count<SheetFetched>() == 2);
--- a/tests/reducer_test.cpp
+++ b/tests/reducer_test.cpp
@@ -376,7 +376,7 @@
     EffectList effects;
     const auto apply = [&](EventBody body) { reducer.apply({ now, 1, std::move(body) }, effects); };
     apply(SheetFetched { makeSheet(1, rule("idempotent")) });
-    apply(ServersPublished { {}, StoreRevision { 1 }, true });
+    apply(ServersPublished { {}, StorePosition { {}, StoreRevision { 1 } }, true });
     const auto receivePings = [&](int steps, std::uint64_t firstRevision) {
         for (int i = 0; i < steps; ++i) {
             auto ping = makeMessageOfB();
@@ -400,7 +400,7 @@
     EffectList effects;
     const auto apply = [&](EventBody body) { reducer.apply({ now, 1, std::move(body) }, effects); };
     apply(SheetFetched { makeSheet(1, rule("idempotent")) });
-    apply(ServersPublished { {}, StoreRevision { 1 }, true });
+    apply(ServersPublished { {}, StorePosition { {}, StoreRevision { 1 } }, true });
     apply(PlatformUnreachable {});
     for (const char* name : { "b", "c" }) {
         auto ping = makeMessage(name, "10.1.0.2:9000");
@@ -428,7 +428,7 @@
     server.service = ServiceName { "s" };
     server.address = { "10.0.0.1", 80 };
     server.zone = ZoneName { "z" };
-    apply(ServersPublished { { { server.name, server, StoreRevision { 1 } } }, StoreRevision { 1 }, true });
+    apply(ServersPublished { { { server.name, server, StorePosition { {}, StoreRevision { 1 } } } }, StorePosition { {}, StoreRevision { 1 } }, true });
     const auto run = [&](Millis time, bool membersInContact) {
         for (Millis done { 0 }; done < time; done += Millis { 10 }) {
             now += std::chrono::milliseconds(10);
@@ -445,7 +445,7 @@
     REQUIRE(reducer.status(now).watching);
     apply(PlatformUnreachable {});
     // The entry may only have expired in the outage, so that the server stays in use for a while after its end.
-    apply(ServersPublished { { { server.name, {}, StoreRevision { 2 } } }, StoreRevision { 2 } });
+    apply(ServersPublished { { { server.name, {}, StorePosition { {}, StoreRevision { 2 } } } }, StorePosition { {}, StoreRevision { 2 } } });
     apply(PlatformUnreachable {});
     run(Millis { 3000 }, true);
     CHECK_FALSE(reducer.status(now).watching);
@@ -560,3 +560,73 @@
         CHECK(reducer.status(now).ready == row.isAdopted);
     }
 }
+
+// Guards against a change of services whose requests do not compete, and against competing requests that are refused although
+// they can still be done before their deadline.
+TEST_CASE("Requests wait past their target latency and by value only where they compete")
+{
+    struct Row {
+        const char* name;
+        Placement placement;
+        /// Priority of the rule of /u, whose requests come last; that of the other rule is 1.
+        int priority;
+        /// Time after which a server becomes free.
+        Millis busy;
+        /// Paths of the requests in the order in which they are sent.
+        std::string sent;
+        ErrorKind error;
+    };
+    // Without a target latency in the sheet, it is half of the time limit of 1 s. `queue_ms` is 100.
+    const auto [name, placement, priority, busy, sent, error] = GENERATE(values<Row>({
+        { "by arrival", Placement::ExpectedCost, 1, Millis { 300 }, "/x /u ", ErrorKind::None },
+        { "by arrival, late", Placement::ExpectedCost, 1, Millis { 600 }, "", ErrorKind::QueueTimeout },
+        { "by arrival, by slots", Placement::Slots, 1, Millis { 50 }, "/x /u ", ErrorKind::None },
+        { "by arrival, by slots, late", Placement::Slots, 1, Millis { 150 }, "", ErrorKind::QueueTimeout },
+        { "by value", Placement::ExpectedCost, 0, Millis { 300 }, "/u /x ", ErrorKind::None },
+        { "by value, late", Placement::ExpectedCost, 0, Millis { 600 }, "/u /x ", ErrorKind::None },
+        { "by value, by slots, late", Placement::Slots, 0, Millis { 150 }, "", ErrorKind::QueueTimeout },
+    }));
+    CAPTURE(name);
+    const std::string urgent = "[[rule]]\nmethod = \"GET\"\npath = \"/u\"\nservice = \"s\"\nkind = \"idempotent\"\nkey = \"none\"\n"
+                               "time_limit_ms = 1000\npriority = "
+        + std::to_string(priority) + "\n";
+    Driver driver(makeSheet(1, rule("idempotent") + urgent), placement);
+    driver.request();
+    REQUIRE(driver.sends.size() == 1);
+    const RequestId other = driver.request({}, 2, "/x");
+    driver.request({}, 3, "/u");
+    driver.advance(busy);
+    std::string order;
+    while (!driver.sends.empty()) {
+        driver.finish(TryResult::Answered);
+        if (!driver.sends.empty())
+            order += driver.sends.front().request == other ? "/x " : "/u ";
+    }
+    CHECK(order == sent);
+    CHECK(driver.refusals.size() == (error == ErrorKind::None ? 0 : 2));
+    for (const Refuse& refusal : driver.refusals)
+        CHECK(refusal.error == error);
+}
+
+// Guards against callers that wait for nothing: while the slots are taken, a request that cannot be done in time is refused at once.
+TEST_CASE("A competing request that cannot be done before its deadline is refused on arrival with a retry time")
+{
+    const std::string second = "[[rule]]\nmethod = \"GET\"\npath = \"/u\"\nservice = \"s\"\nkind = \"idempotent\"\nkey = \"none\"\npriority = 0\n";
+    Driver driver(makeSheet(1, rule("idempotent") + second), Placement::ExpectedCost);
+    for (int i = 0; i < 20; ++i) {
+        driver.request();
+        driver.advance(Millis { 300 });
+        driver.finish(TryResult::Answered);
+    }
+    driver.request();
+    driver.request(Millis { 600 });
+    REQUIRE(driver.refusals.empty());
+    driver.request(Millis { 200 });
+    REQUIRE(driver.refusals.size() == 1);
+    const Refuse& refusal = driver.refusals.front();
+    CHECK(refusal.outcome == Outcome::NotRun);
+    REQUIRE(refusal.retryAfter);
+    CHECK(*refusal.retryAfter >= Millis { 20 });
+    CHECK(*refusal.retryAfter <= Millis { 200 } / 3);
+    CHECK(driver.sends.size() == 1);
+}
