--- a/tests/slow_reader_test.cpp
+++ b/tests/slow_reader_test.cpp
@@ -319,7 +319,9 @@
     CHECK(notServed == 0);
     // Some of these responses are ended before the slow readers count as slow.
     CHECK(4 * mediumServed > mediumSent);
-    CHECK(scenario.faults() == "");
+    const std::string faults = scenario.faults();
+    CAPTURE(faults);
+    CHECK(faults.empty());
     CHECK_FALSE(scenario.fleet.instance("a").wait(0));
 }
 
