--- a/tests/standin/standin.h
+++ b/tests/standin/standin.h
@@ -25,6 +25,10 @@
 /// - `GET /api/kv-watch` waits for `waitMs` until the value of this path states an `asOf` later than `after`, and returns it, or a
 ///   list without events.
 /// - `GET /api/kv-range` with `after` returns the value of /api/kv-range/next.
+/// - `PUT /api/kv-list` with the query fields `asOf` and `pageItems` sets a list of items, one line `KEY ITEM` each, with the key
+///   percent-encoded. From then on `GET /api/kv-range` returns its pages, sorted by key. The query field `after` is decoded as a
+///   form field: `+` is a space.
+/// - `PUT /control` with `history_from=N` answers watches after a revision below N with 410.
 /// - `GET /calls` returns the number of `GET` requests for values.
 ///
 /// @param options `listen`
--- a/tests/support/platform_store.cpp
+++ b/tests/support/platform_store.cpp
@@ -26,18 +26,35 @@
     return text;
 }
 
+std::string PlatformStore::escapeJson(const std::string& text)
+{
+    std::string escaped;
+    for (const char c : text) {
+        char unicode[7];
+        std::snprintf(unicode, sizeof unicode, "\\u%04x", static_cast<unsigned char>(c));
+        const bool isControl = static_cast<unsigned char>(c) < 0x20;
+        escaped += isControl ? std::string(unicode) : (c == '"' || c == '\\' ? "\\" : "") + std::string(1, c);
+    }
+    return escaped;
+}
+
 std::string PlatformStore::item(const std::string& key, const std::string& value) const
 {
     const std::string revision = std::to_string(nextRevision());
     return R"({"key":")" + key + R"(","value":")" + encodeBase64(value) + R"(","rev":)" + revision + R"(,"createRev":1,"lease":0,"asOf":)" + revision + "}";
 }
 
-std::string PlatformStore::entry(const std::string& server, const std::string& service, int slots) const
+std::string PlatformStore::entryAt(const std::string& address, const std::string& service, int slots)
 {
-    return R"({"service":")" + service + R"(","address":")" + m_fleet.serverAddress(server) + R"(","zone":"leon","version":"v1","slots":)"
+    return R"({"service":")" + service + R"(","address":")" + address + R"(","zone":"leon","version":"v1","slots":)"
         + std::to_string(slots) + R"(,"state":"ready","warmupLeftS":0,"seq":1,"born":1})";
 }
 
+std::string PlatformStore::entry(const std::string& server, const std::string& service, int slots) const
+{
+    return entryAt(m_fleet.serverAddress(server), service, slots);
+}
+
 std::string PlatformStore::configuration(int version, const std::string& extraRoute)
 {
     char text[9];
@@ -59,6 +76,27 @@
     ++m_revision;
 }
 
+void PlatformStore::publishPages(const std::vector<KeyedItem>& items, int pageItems)
+{
+    std::string lines;
+    for (const KeyedItem& row : items) {
+        for (const char c : row.key) {
+            char encoded[4];
+            std::snprintf(encoded, sizeof encoded, "%%%02x", static_cast<unsigned char>(c));
+            lines += encoded;
+        }
+        lines += " " + item(escapeJson(row.key), row.value) + "\n";
+    }
+    call(m_fleet.platformAddress(), "PUT", "/api/kv-key", {}, item("op/config", PlatformStore::configuration(1)));
+    call(m_fleet.platformAddress(), "PUT", "/api/kv-list?asOf=" + std::to_string(nextRevision()) + "&pageItems=" + std::to_string(pageItems), {}, lines);
+    ++m_revision;
+}
+
+void PlatformStore::forgetHistory()
+{
+    call(m_fleet.platformAddress(), "PUT", "/control", {}, "history_from=" + std::to_string(m_revision) + "\n");
+}
+
 void PlatformStore::change(const std::vector<std::string>& items)
 {
     std::string events;
--- a/tests/support/platform_store.h
+++ b/tests/support/platform_store.h
@@ -26,12 +26,28 @@
     /// @param configuration routes and services as JSON; empty for those of `configuration`
     void publish(const std::string& configuration = {});
 
+    /// An item under a key of any bytes.
+    struct KeyedItem {
+        std::string key;
+        std::string value;
+    };
+    /// Writes the configuration, and a list of items that the store returns in pages, sorted by key.
+    ///
+    /// @param pageItems number of items on a page
+    void publishPages(const std::vector<KeyedItem>& items, int pageItems);
+    /// Makes the store forget its history up to the latest revision, so that watches have to read all values again.
+    void forgetHistory();
+
     /// Reports changes to the watches of the store, all in one response. Reports those of earlier calls no more.
     ///
     /// @param items texts in JSON, made by `item` or odd ones
     void change(const std::vector<std::string>& items);
 
-    /// @return an entry of a backend server as JSON
+    /// @return an entry of a backend server as JSON, in state `ready`
+    ///
+    /// @param address `host:port`
+    static std::string entryAt(const std::string& address, const std::string& service, int slots);
+    /// @return the same for a backend server of the fleet
     std::string entry(const std::string& server, const std::string& service, int slots) const;
     /// @return a configuration with the two routes as JSON
     ///
@@ -39,6 +55,8 @@
     static std::string configuration(int version, const std::string& extraRoute = {});
     /// @return an item of the store whose revision is that of the next `change`
     std::string item(const std::string& key, const std::string& value) const;
+    /// @return a text of any bytes as the inside of a JSON string
+    static std::string escapeJson(const std::string& text);
     /// @return the standard base64 text, with padding
     static std::string encodeBase64(const std::string& bytes);
     /// @return the revision of the next `change`
