Put no server to use whose entry stands under an odd name

What callers saw: an entry of another writer under a name such as `s1&x`, otherwise valid, took part in serving. Its address got requests that a real server should have had; where no server of that name listens there, each of them is refused with 421 or fails.

Cause: of a name only its length and what a header can state were checked. `&`, `+`, `#`, `%`, inner spaces and slashes passed.

Evidence: two instances before four servers, and 28 odd names whose entries are valid and name a fifth address, in a list, among changes, and in a list that is read again. On the code before all three ways put entries to use, and of 60 requests 48 went to the fifth address (31 of 62 checks failed). Members accepted such names from each other too (14 of 98 checks of server_registry_test failed).

Change: `findProblem`, which both decoders call, accepts names of letters, digits and `-._~` only (the unreserved characters of URLs). The names of servers have letters, digits and hyphens. An entry under another name is logged as `entry-invalid` and takes no requests. The check includes the one for what a header can state, which it replaces.

Result: odd_key_test (350 checks), server_registry_test (98), odd_entry_test (400) and platform_process_test (1037) pass.

--- a/include/cornelwind/http_syntax.h
+++ b/include/cornelwind/http_syntax.h
@@ -15,6 +15,10 @@
 /// characters but tabs, and neither begins nor ends with a space or a tab. The empty text is valid.
 bool isFieldValue(std::string_view text);
 
+/// Checks whether a text consists of characters that have no meaning of their own in a URL (RFC 3986, `unreserved`): letters, digits
+/// and `-._~`. The empty text does.
+bool isUnreserved(std::string_view text);
+
 /// @return whether a status announces that a final response follows. 101 does not: it ends HTTP on the connection.
 constexpr bool isInterimStatus(unsigned status)
 {
--- a/include/cornelwind/published_server.h
+++ b/include/cornelwind/published_server.h
@@ -34,7 +34,7 @@
 /// Longest accepted warm-up.
 inline constexpr Millis MAX_WARMUP { std::chrono::hours(1) };
 
-/// Checks the values of an entry against their bounds.
+/// Checks the values of an entry against their bounds, and its name against the characters that names of servers have.
 ///
 /// @return what is wrong with it; empty if nothing is
 std::string findProblem(const PublishedServer& server);
--- a/src/decision/http_syntax.cpp
+++ b/src/decision/http_syntax.cpp
@@ -14,11 +14,21 @@
         return byte < 0x20 || byte == 0x7f;
     }
 
+    bool isLetterOrDigit(char c)
+    {
+        return (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z') || (c >= '0' && c <= '9');
+    }
+
     bool isTokenCharacter(char c)
     {
         constexpr std::string_view symbols = "!#$%&'*+-.^_`|~";
-        const bool letter = (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z');
-        return letter || (c >= '0' && c <= '9') || symbols.find(c) != std::string_view::npos;
+        return isLetterOrDigit(c) || symbols.find(c) != std::string_view::npos;
+    }
+
+    bool isUnreservedCharacter(char c)
+    {
+        constexpr std::string_view symbols = "-._~";
+        return isLetterOrDigit(c) || symbols.find(c) != std::string_view::npos;
     }
 
     bool isBlank(char c) { return c == SPACE || c == TAB; }
@@ -30,6 +40,11 @@
     return !text.empty() && std::all_of(text.begin(), text.end(), isTokenCharacter);
 }
 
+bool isUnreserved(std::string_view text)
+{
+    return std::all_of(text.begin(), text.end(), isUnreservedCharacter);
+}
+
 bool isRequestTarget(std::string_view text)
 {
     return !text.empty() && std::none_of(text.begin(), text.end(), [](char c) { return isControl(c) || c == SPACE; });
--- a/src/decision/published_server.cpp
+++ b/src/decision/published_server.cpp
@@ -8,9 +8,9 @@
 {
     if (server.name.value().empty() || server.name.value().size() > MAX_SERVER_NAME_BYTES)
         return "a name of " + std::to_string(server.name.value().size()) + " bytes";
-    // Requests for the server name it in a header.
-    if (!isFieldValue(server.name.value()))
-        return "a name with control characters or with spaces at its ends";
+    // No server chooses another name, so the entry is of another writer.
+    if (!isUnreserved(server.name.value()))
+        return "a name with other characters than letters, digits and -._~";
     if (server.service.value().empty())
         return "no service";
     if (!server.address.port)
--- a/tests/odd_key_test.cpp
+++ b/tests/odd_key_test.cpp
@@ -103,6 +103,21 @@
         return std::all_of(instances.begin(), instances.end(), [&](const std::string& name) { return fleet.waitForReady(name, 3000); });
     }
 
+    /// @return the largest number of servers that an instance knows
+    std::size_t countKnown() const
+    {
+        const std::string marker = "\"standing\":";
+        std::size_t most = 0;
+        for (const std::string& name : instances) {
+            const std::string status = fleet.statusJson(name);
+            std::size_t count = 0;
+            for (auto at = status.find(marker); at != std::string::npos; at = status.find(marker, at + 1))
+                ++count;
+            most = std::max(most, count);
+        }
+        return most;
+    }
+
     /// @return whether all instances know a server
     bool know(const std::string& server) const
     {
@@ -193,3 +208,30 @@
     }
     CHECK(scenario.countFailed(30) == 0);
 }
+
+TEST_CASE("An entry under an odd key puts no server to use")
+{
+    Scenario scenario(2);
+    std::vector<std::string> names;
+    for (const OddName& row : NAMES)
+        names.push_back(row.text);
+    scenario.publish(names, 3);
+    scenario.start();
+    REQUIRE(scenario.areReady());
+    REQUIRE(waitFor([&] { return scenario.knowServers(); }));
+    CHECK(scenario.countKnown() == SERVERS.size());
+    std::size_t number = 0;
+    for (const OddName& row : NAMES) {
+        CAPTURE(row.title);
+        const std::string good = "good-" + std::to_string(++number);
+        scenario.store.change({ scenario.store.item("servers/" + PlatformStore::escapeJson(row.text), scenario.store.entry("decoy", "service", 8)),
+            scenario.store.item("servers/" + good, scenario.store.entry("s1", "service", 8)) });
+        CHECK(waitFor([&] { return scenario.know(good); }, 3000));
+        CHECK(scenario.countKnown() == SERVERS.size() + number);
+    }
+    scenario.publish(names, 2);
+    scenario.store.forgetHistory();
+    CHECK(waitFor([&] { return scenario.countKnown() == SERVERS.size(); }, 3000));
+    CHECK(scenario.countFailed(60) == 0);
+    CHECK(scenario.fleet.countRuns("decoy", "/safe/x") == 0);
+}
--- a/tests/server_registry_test.cpp
+++ b/tests/server_registry_test.cpp
@@ -295,6 +295,14 @@
         { "warm-up too long", [](peer::ServerEntry& entry) { entry.set_warmup_ms(4294967295U); } },
         { "no service", [](peer::ServerEntry& entry) { entry.clear_service(); } },
         { "long name", [](peer::ServerEntry& entry) { entry.set_name(std::string(10000, 'x')); } },
+        { "no name", [](peer::ServerEntry& entry) { entry.clear_name(); } },
+        { "name with an ampersand", [](peer::ServerEntry& entry) { entry.set_name("a&x"); } },
+        { "name with a plus sign", [](peer::ServerEntry& entry) { entry.set_name("a+x"); } },
+        { "name with a number sign", [](peer::ServerEntry& entry) { entry.set_name("a#x"); } },
+        { "name with a percent sign", [](peer::ServerEntry& entry) { entry.set_name("a%41"); } },
+        { "name with a space", [](peer::ServerEntry& entry) { entry.set_name("a x"); } },
+        { "name with a slash", [](peer::ServerEntry& entry) { entry.set_name("a/x"); } },
+        { "name beyond ASCII", [](peer::ServerEntry& entry) { entry.set_name("a\xc3\xa9"); } },
     };
     for (const Row& row : rows) {
         for (const bool byList : { false, true }) {
