Read on after a page of the store whose keys are no valid text

What callers saw: found with the tests of odd keys. While a page of the list of servers held only entries whose keys are no UTF-8, an instance that started never became ready and answered no request.

Cause: a page continues after its last key that can be read. The key of an item that could not be parsed as a whole was lost with it. If all items of a page were such, the answer counted as malformed and was requested again without end.

Evidence: keys with four kinds of wrong UTF-8, in pages of one, two and three items.

Change: an item that cannot be parsed is searched for its key, by the extents of its fields, with strings of any bytes. The item itself stays unreadable and names no server. The next page begins after the highest key, since the store sorts by key. A key that cannot be expressed in bytes, such as half of a surrogate pair, still leaves a page of its own unread; no store that keeps keys as text writes it.

--- a/tests/odd_key_test.cpp
+++ b/tests/odd_key_test.cpp
@@ -235,3 +235,20 @@
     CHECK(scenario.countFailed(60) == 0);
     CHECK(scenario.fleet.countRuns("decoy", "/safe/x") == 0);
 }
+
+TEST_CASE("A key that is no valid text does not keep a starting instance from the other servers")
+{
+    Scenario scenario(1);
+    for (const char* name : { "s1\xff", "s1\xc3", "s1\xed\xa0\x80x", "\xff" }) {
+        for (const int pageItems : { 1, 2, 3 }) {
+            CAPTURE(name, pageItems);
+            scenario.publish(similarNames(name), pageItems);
+            scenario.start();
+            CHECK(scenario.areReady());
+            CHECK(scenario.knowServers());
+            CHECK(scenario.countKnown() == SERVERS.size());
+            CHECK(scenario.countFailed(8) == 0);
+            scenario.kill();
+        }
+    }
+}
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -3,6 +3,7 @@
 #include "metadata_store_watcher.h"
 #include "platform/adapter.h"
 #include "platform/notice.h"
+#include "platform/store_body.h"
 #include "platform/values.h"
 #include "random_bits.h"
 #include "request_table.h"
@@ -215,6 +216,46 @@
     CHECK(platform::readServer(ServerName { "i" }, rows[1].text, problem)->leaving);
 }
 
+// Guards against a page that is read again and again, so that the instance never becomes ready.
+TEST_CASE("The next page begins after the last key, also if the items of the page cannot be parsed")
+{
+    struct Row {
+        std::string item;
+        std::string next;
+    };
+    const std::string deep(1000, '[');
+    const Row rows[] = {
+        { R"({"key":"servers/a","rev":1,"value":""})", "servers/a" },
+        { R"({"key":"servers/a)"
+          "\xff"
+          R"(","rev":1,"value":""})",
+            "servers/a\xff" },
+        { R"({"key":"servers/\u00e9\"\\)"
+          "\xff"
+          R"(","rev":1,"value":""})",
+            "servers/\xc3\xa9\"\\\xff" },
+        { R"({"rev":1,"value":"}\"{]","lease":1e999999999999,"key":"servers/b"})", "servers/b" },
+        { R"({"lease":)" + deep + std::string(1000, ']') + R"(,"key":"servers/c"})", "servers/c" },
+        { R"({"lease":{"key":"servers/inner"},"key":"servers/d","value":"\x)"
+          "\xff"
+          R"("})",
+            "servers/d" },
+        { R"({"key":"servers/e","value":nonsense})", "servers/e" },
+    };
+    for (const Row& row : rows) {
+        CAPTURE(row.item);
+        const std::string body = R"({"items":[)" + row.item + R"(],"hasMore":true,"asOf":5})";
+        StoreReply reply;
+        CHECK(platform::decodeStoreBody(body, platform::StoreBody::Range, "servers/", reply));
+        CHECK(reply.nextPage == row.next);
+    }
+    for (const std::string item : { R"({"key":"servers/\ud800","rev":1})", R"({"key":5,"value":nonsense})", R"({"key":)", "nonsense", "" }) {
+        CAPTURE(item);
+        StoreReply reply;
+        CHECK_FALSE(platform::decodeStoreBody(R"({"items":[)" + item + R"(],"hasMore":true,"asOf":5})", platform::StoreBody::Range, "servers/", reply));
+    }
+}
+
 TEST_CASE("What a backend server says of itself is read, and bad values are left out")
 {
     using Kind = StatedLimit::Kind;
