Take no response without a length for complete if its request was not written to the end

What callers saw: a server answered a long upload at once with a 200 that had no length, sent a part of its body and reset the connection while the upload was still being written. The caller got that part as a complete answer.

Cause: a response without a length ends with its connection, and only an orderly end makes it complete. The kernel reports a reset once. The write of the upload got it; the reads after it returned what had arrived and then the end of the connection, as after an orderly close. Seen with two plain sockets: a write of 24 MB fails with ECONNRESET, the reads return the part and then 0 bytes; if the write had ended before, the second read fails with ECONNRESET.

Evidence: an entry instance before a server of the test, 16 kinds of partial responses, by how much of the upload the server had read (nothing, 64 KB, all), the time until the reset, and a plain close with unread bytes, which also resets. On the code before 80 of 224 requests that may run once got a part as a complete answer, all of them without a length and with an upload of 24 MB that the server had not read to its end; of 10 safe requests 7 got the part although another server was sound (235 of 1448 checks failed).

Change: after a failed write a response that ends with the connection is broken, whatever its status. The caller gets 502 at once, or for a safe request the answer of another server. A response whose length is stated, by Content-Length or chunks, is passed on as before if all of it has arrived. A server that answers without a length and closes before it has read the upload gets 502 too: how much of its body was lost cannot be told.

Result: broken_response_test passes (1448 checks): 502 within 1 s, and each request that may run once has run once.

--- a/src/shell/http_client.h
+++ b/src/shell/http_client.h
@@ -38,7 +38,8 @@
     std::string echoValue;
     /// Whether the echoed header stays in the response.
     bool keepEcho = false;
-    /// Accepts a response without a stated length, which ends when the server closes the connection.
+    /// Accepts a response without a stated length, which ends when the server closes the connection after it has received the
+    /// whole request.
     bool allowCloseDelimited = false;
     /// Time limit for opening a new connection.
     Millis connectTimeout { 1000 };
--- a/src/shell/http_client_exchange.cpp
+++ b/src/shell/http_client_exchange.cpp
@@ -163,8 +163,9 @@
 void HttpClient::Exchange::beginBody()
 {
     // Without a stated length the response ends when the connection closes, so a truncated one may look complete.
-    // It is refused unless the call allows it; then it is complete only after an orderly close.
-    if (m_parser->need_eof() && !m_call.allowCloseDelimited)
+    // It is refused unless the call allows it; then it is complete only after an orderly close. A failed write has already
+    // taken the error of a reset from the socket, and reads would report the end of the connection as orderly.
+    if (m_parser->need_eof() && (!m_call.allowCloseDelimited || !m_sentAll))
         return finish(TryResult::Broken);
     m_parser->body_limit(m_call.maxResponse);
     m_bodyBytes = 0;
