Take no response for an answer whose head has folded lines

Names with a blank or a control byte inside or after them, and control bytes in values, were refused before.

Cause: a line that begins with a space or a tab continues the field before it in HTTP of old (RFC 9112, 5.2). The parser of Boost.Beast joins such lines without a word.

Evidence: 29 lines that are no header field, in the answers of a server of the test, each in eight places: first, inside or last in the head, without a length, with chunks, in a failure, in an interim response and after the chunks.

Change: a buffer observes the lines that the parser takes from it. A head with a folded line, also that of an interim response, makes the response broken: 502 at once, or another server for a safe request. RFC 9112 leaves a proxy the choice between that and replacing the fold by spaces; a server that folds on purpose is not known, while one in trouble may mean a field of its own. All answers are read by the same client: of servers, their health checks, and the store.

--- a/src/shell/http_client_exchange.cpp
+++ b/src/shell/http_client_exchange.cpp
@@ -144,12 +144,16 @@
     m_parser->body_limit(m_call.maxResponse);
     if (m_call.method == "HEAD")
         m_parser->skip(true);
+    m_buffer.beginHead();
     http::async_read_header(m_socket, m_buffer, *m_parser, [self = shared_from_this()](ErrorCode error, std::size_t read) {
         if (self->m_done)
             return;
         self->m_receivedAny = self->m_receivedAny || read || self->m_buffer.size();
+        const bool hasFoldedLine = self->m_buffer.endHead();
         if (error)
             return self->finish(self->resultOf(error));
+        if (hasFoldedLine)
+            return self->finish(TryResult::Broken);
         const unsigned status = self->m_parser->get().result_int();
         if (isInterimStatus(status))
             return self->skipResponse();
--- a/src/shell/http_client_exchange.h
+++ b/src/shell/http_client_exchange.h
@@ -3,10 +3,10 @@
 #include "connection_pool.h"
 #include "http_client.h"
 #include "memory_budget.h"
+#include "response_buffer.h"
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
-#include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
 
@@ -93,7 +93,7 @@
     HttpCall m_call;
     CallHandler m_handler;
     std::string m_head;
-    boost::beast::flat_buffer m_buffer { MAX_BUFFERED_BYTES };
+    ResponseBuffer m_buffer { MAX_BUFFERED_BYTES };
     std::optional<Parser> m_parser;
     ResponsePtr m_response;
     /// Memory of the body while it is received.
--- a/tests/broken_response_test.cpp
+++ b/tests/broken_response_test.cpp
@@ -20,6 +20,7 @@
 
 using namespace cornelwind::test;
 using namespace std::chrono_literals;
+using namespace std::string_literals;
 
 namespace {
 
@@ -241,6 +242,44 @@
     { "status line cut", "HTTP/1.1 200" },
 };
 
+struct Line {
+    const char* title;
+    std::string text;
+};
+
+/// Lines that are no header field.
+const Line BAD_LINES[] = {
+    { "space in a name", "Odd Name: v" },
+    { "space before a name", " Odd: v" },
+    { "tab before a name", "\tOdd: v" },
+    { "space after a name", "Odd : v" },
+    { "tab after a name", "Odd\t: v" },
+    { "tab in a name", "Odd\tName: v" },
+    { "control byte in a name", "Odd\x01Name: v" },
+    { "control byte before a name", "\x01Odd: v" },
+    { "control byte after a name", "Odd\x1f: v" },
+    { "null character in a name", "Odd\0Name: v"s },
+    { "delete character in a name", "Odd\x7f: v" },
+    { "carriage return in a name", "Odd\rName: v" },
+    { "line feed in a name", "Odd\nName: v" },
+    { "byte beyond ASCII in a name", "Odd\xc3\xa9: v" },
+    { "parenthesis in a name", "Odd(Name): v" },
+    { "empty name", ": v" },
+    { "no colon", "Odd" },
+    { "only spaces", "  " },
+    { "length with a space after its name", "Content-Length : 2" },
+    { "length with a tab after its name", "Content-Length\t: 2" },
+    { "length with a space before its name", " Content-Length: 2" },
+    { "length with a tab before its name", "\tContent-Length: 2" },
+    { "length with a control byte in its name", "Content-\x01Length: 2" },
+    { "coding with a space after its name", "Transfer-Encoding : chunked" },
+    { "coding with a space in its name", "Transfer Encoding: chunked" },
+    { "coding with a space before its name", " Transfer-Encoding: chunked" },
+    { "control byte in a value", "Odd: v\x01w" },
+    { "null character in a value", "Odd: v\0w"s },
+    { "carriage return in a value", "Odd: v\rw" },
+};
+
 } // namespace
 
 TEST_CASE("A response that ends with a reset, while the upload is being written or after it, reaches no caller as complete")
@@ -299,3 +338,20 @@
         CHECK(outcome.response->body == "sound");
     }
 }
+
+TEST_CASE("A response with a line in its head that is no header field reaches no caller")
+{
+    Scenario scenario;
+    const std::string statusLine = "HTTP/1.1 200 OK";
+    for (const Line& line : BAD_LINES) {
+        const std::string bad = line.text + "\r\n";
+        scenario.checkRejected({ line.title + " last"s, response(statusLine, "Content-Length: 4\r\n" + bad, "part") }, SHORT_UPLOAD_BYTES);
+        scenario.checkRejected({ line.title + " inside"s, response(statusLine, bad + "Content-Length: 4\r\n", "part") }, SHORT_UPLOAD_BYTES);
+        scenario.checkRejected({ line.title + " first"s, statusLine + "\r\n" + bad + FIELDS + "Content-Length: 4\r\n\r\npart" }, SHORT_UPLOAD_BYTES);
+        scenario.checkRejected({ line.title + " and no length"s, response(statusLine, bad, "part"), Upload::All, Ending::Close }, SHORT_UPLOAD_BYTES);
+        scenario.checkRejected({ line.title + " and chunks"s, response(statusLine, "Transfer-Encoding: chunked\r\n" + bad, "4\r\npart\r\n0\r\n\r\n") }, SHORT_UPLOAD_BYTES);
+        scenario.checkRejected({ line.title + " in a failure"s, response("HTTP/1.1 404 Not Found", bad + "Content-Length: 4\r\n", "part") }, SHORT_UPLOAD_BYTES);
+        scenario.checkRejected({ line.title + " in an interim response"s, "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n" + bad + "\r\n" + response(statusLine, "Content-Length: 4\r\n", "part") }, SHORT_UPLOAD_BYTES);
+        scenario.checkRejected({ line.title + " after chunks"s, response(statusLine, "Transfer-Encoding: chunked\r\n", "4\r\npart\r\n0\r\n" + bad + "\r\n") }, SHORT_UPLOAD_BYTES);
+    }
+}
