Test that a status which is none reaches no caller, in more forms

On other systems a server in trouble sent an answer whose status was 000, and the client got it as an answer. Here such an answer is refused since. Its tests, http_status_test and with the real program "An invalid status" of platform_process_test, stay as they are.

Evidence: 19 statuses (000, 099, 101, 600, 999, one to four digits, signs, words, none), each with a length, with an empty body, in chunks, without a length, after an interim response, and with a reset during a long upload.

Change: the test only.

--- a/tests/broken_response_test.cpp
+++ b/tests/broken_response_test.cpp
@@ -242,6 +242,8 @@
     { "status line cut", "HTTP/1.1 200" },
 };
 
+const std::string STATUSES[] = { "000", "001", "099", "101", "600", "999", "0", "00", "20", "0000", "2000", "-20", "+20", "0x0", "2 0", "20x", " 200", "abc", "" };
+
 struct Line {
     const char* title;
     std::string text;
@@ -339,6 +341,20 @@
     }
 }
 
+TEST_CASE("A response whose status is none reaches no caller")
+{
+    Scenario scenario;
+    for (const std::string& status : STATUSES) {
+        const std::string line = "HTTP/1.1 " + status + " Text";
+        scenario.checkRejected({ status, response(line, "Content-Length: 4\r\n", "part") }, SHORT_UPLOAD_BYTES);
+        scenario.checkRejected({ status, response(line, "Content-Length: 0\r\n", "") }, SHORT_UPLOAD_BYTES);
+        scenario.checkRejected({ status, response(line, "Transfer-Encoding: chunked\r\n", "4\r\npart\r\n0\r\n\r\n") }, SHORT_UPLOAD_BYTES);
+        scenario.checkRejected({ status, response(line, "", "part"), Upload::All, Ending::Close }, SHORT_UPLOAD_BYTES);
+        scenario.checkRejected({ status + " after an interim response", "HTTP/1.1 103 Early Hints\r\n\r\n" + response(line, "Content-Length: 4\r\n", "part") }, SHORT_UPLOAD_BYTES);
+        scenario.checkRejected({ status, response(line, "Content-Length: 4\r\n", "part"), Upload::None, Ending::Reset, 20ms }, LONG_UPLOAD_BYTES);
+    }
+}
+
 TEST_CASE("A response with a line in its head that is no header field reaches no caller")
 {
     Scenario scenario;
