--- a/tests/odd_key_test.cpp
+++ b/tests/odd_key_test.cpp
@@ -79,6 +79,7 @@
     void publish(const std::vector<std::string>& oddNames, int pageItems)
     {
         std::vector<PlatformStore::KeyedItem> items;
+        items.reserve(SERVERS.size() + oddNames.size());
         for (const std::string& server : SERVERS)
             items.push_back({ "servers/" + server, store.entry(server, "service", 8) });
         for (const std::string& name : oddNames)
