End a request at once if the head of its response is broken while its upload is still being written

What callers saw: found with the tests of broken answers. A server sent a head that is none (status 000, a blank in a name) during a long upload and read no more of it. The caller got 504 at the deadline, though it was known at once that no answer would come.

Cause: the response was read only once the request had been written, and the write waited for the server.

Evidence: six broken heads, before the server has read anything of 24 MB and after 64 KB of it, with the connection kept open.

Change: for requests above 64 KiB the head is read as soon as the server responds. If it is broken the call ends and closes the connection: 502 for a request that may run once, another server for a safe one. The body of any other response is read, as before, when the request has been written, so that a server may read on after it has answered and keep the connection. Shorter requests are written at once and take the same path as before.

Not changed: a response with a good head whose body breaks while the server reads no more still ends at the deadline.

--- a/src/shell/http_client_exchange.cpp
+++ b/src/shell/http_client_exchange.cpp
@@ -124,12 +124,28 @@
     };
     const std::array<asio::const_buffer, 2> buffers { asio::buffer(m_head), asio::buffer(m_call.body.text()) };
     asio::async_write(m_socket, buffers, progress, [self = shared_from_this()](ErrorCode error, std::size_t written) { self->onWritten(error, written); });
+    if (m_call.body.size() > SMALL_BODY_BYTES)
+        readHeadEarly();
+}
+
+void HttpClient::Exchange::readHeadEarly()
+{
+    m_socket.async_wait(tcp::socket::wait_read, [self = shared_from_this()](ErrorCode error) {
+        if (!error && self->m_writing && !self->m_done)
+            self->readHead();
+    });
 }
 
 void HttpClient::Exchange::onWritten(ErrorCode error, std::size_t written)
 {
+    if (m_done)
+        return;
     m_writing = false;
     m_sentAll = !error;
+    if (m_headState == HeadState::Complete)
+        return beginBody();
+    if (m_headState == HeadState::Reading)
+        return;
     // A server may respond and close before it has read the whole request.
     if (!error || written)
         return readHead();
@@ -144,6 +160,7 @@
     m_parser->body_limit(m_call.maxResponse);
     if (m_call.method == "HEAD")
         m_parser->skip(true);
+    m_headState = HeadState::Reading;
     m_buffer.beginHead();
     http::async_read_header(m_socket, m_buffer, *m_parser, [self = shared_from_this()](ErrorCode error, std::size_t read) {
         if (self->m_done)
@@ -160,7 +177,9 @@
         // The parser accepts any number as a status. 101 is invalid too, because no request asks for a protocol switch.
         if (!isFinalStatus(status))
             return self->finish(TryResult::Broken);
-        self->beginBody();
+        self->m_headState = HeadState::Complete;
+        if (!self->m_writing)
+            self->beginBody();
     });
 }
 
--- a/src/shell/http_client_exchange.h
+++ b/src/shell/http_client_exchange.h
@@ -65,8 +65,18 @@
     // Limits the bytes received but not yet parsed: a head, or a chunk header or trailer.
     static constexpr std::size_t MAX_BUFFERED_BYTES = 128 * 1024;
 
+    /// How far the head of the final response has been read.
+    enum class HeadState : std::uint8_t {
+        None,
+        Reading,
+        Complete,
+    };
+
     void connect();
     void write();
+    /// Reads the head as soon as the server responds. A broken one then ends the call although the request is still being written;
+    /// the body of any other response is read after that.
+    void readHeadEarly();
     void onWritten(ErrorCode error, std::size_t written);
     void readHead();
     void beginBody();
@@ -105,6 +115,7 @@
     /// Bytes received since the head of the response.
     std::size_t m_bodyBytes = 0;
     int m_skippedResponses = 0;
+    HeadState m_headState = HeadState::None;
     bool m_connected = false;
     bool m_writing = false;
     bool m_sentAll = false;
--- a/tests/broken_response_test.cpp
+++ b/tests/broken_response_test.cpp
@@ -57,6 +57,8 @@
     Upload read = Upload::All;
     Ending ending = Ending::KeepOpen;
     std::chrono::milliseconds pauseBeforeEnd { 0 };
+    /// Whether the server reads the rest of the body after the pause.
+    bool readsOn = false;
 };
 
 /// Answers all requests of a server as set, and counts them by target.
@@ -95,13 +97,17 @@
     {
         const Answer answer = begin(head);
         const std::size_t length = std::strtoul(valueOf(head, "Content-Length: ").c_str(), nullptr, 10);
-        if (answer.read != Upload::None && !discardBytes(connection, answer.read == Upload::All ? length : std::min(length, PART_OF_UPLOAD_BYTES)))
+        const std::size_t readFirst = answer.read == Upload::All ? length : answer.read == Upload::Part ? std::min(length, PART_OF_UPLOAD_BYTES)
+                                                                                                        : 0;
+        if (!discardBytes(connection, readFirst))
             return false;
         std::string bytes = answer.bytes;
         for (auto at = bytes.find("{id}"); at != std::string::npos; at = bytes.find("{id}"))
             bytes.replace(at, 4, valueOf(head, "Request-Id: "));
         writeAll(connection, bytes);
         std::this_thread::sleep_for(answer.pauseBeforeEnd);
+        if (answer.readsOn)
+            discardBytes(connection, length - readFirst);
         if (answer.ending == Ending::Reset)
             resetConnection(connection);
         return answer.ending == Ending::KeepOpen;
@@ -355,6 +361,35 @@
     }
 }
 
+// Guards against a caller who waits for the deadline, because the response is read only after the upload has been written.
+TEST_CASE("A broken head that arrives while the upload is being written ends the request at once, although the server reads no more")
+{
+    Scenario scenario;
+    const std::string heads[] = {
+        response("HTTP/1.1 000 Text", "Content-Length: 4\r\n", "part"),
+        response("HTTP/1.1 600 Text", "", "part"),
+        response("HTTP/1.1 200 OK", "Odd Name: v\r\nContent-Length: 4\r\n", "part"),
+        response("HTTP/1.1 200 OK", " Content-Length: 4\r\n", "part"),
+        "HTTP/1.1 103 Early Hints\r\n\r\n" + response("HTTP/1.1 000 Text", "Content-Length: 4\r\n", "part"),
+        "no answer in the protocol\r\n\r\n",
+    };
+    for (const std::string& head : heads) {
+        for (const Upload read : { Upload::None, Upload::Part })
+            scenario.checkRejected({ "connection kept open", head, read, Ending::KeepOpen, 3s }, LONG_UPLOAD_BYTES);
+    }
+}
+
+TEST_CASE("A response that arrives while the upload is being written is passed on, also if the server reads on only later")
+{
+    Scenario scenario;
+    for (const Upload read : { Upload::None, Upload::Part }) {
+        scenario.checkPassedOn({ "stated length", SOUND, read, Ending::KeepOpen, 300ms, true }, LONG_UPLOAD_BYTES, 200, "sound");
+        scenario.checkPassedOn({ "chunks", response("HTTP/1.1 200 OK", "Transfer-Encoding: chunked\r\n", "5\r\nwhole\r\n0\r\n\r\n"), read, Ending::KeepOpen, 300ms, true }, LONG_UPLOAD_BYTES, 200, "whole");
+        scenario.checkPassedOn({ "no length, closed", response("HTTP/1.1 200 OK", "", "whole"), read, Ending::Close, 300ms, true }, LONG_UPLOAD_BYTES, 200, "whole");
+        scenario.checkPassedOn({ "after an interim response", "HTTP/1.1 100 Continue\r\n\r\n" + SOUND, read, Ending::KeepOpen, 300ms, true }, LONG_UPLOAD_BYTES, 200, "sound");
+    }
+}
+
 TEST_CASE("A response with a line in its head that is no header field reaches no caller")
 {
     Scenario scenario;
