--- a/src/shell/http_client.h
+++ b/src/shell/http_client.h
@@ -59,7 +59,9 @@
 /// Asynchronous HTTP/1.1 client with a pool of idle connections per address.
 ///
 /// A response is complete only if its length is stated, by Content-Length or chunks,
-/// and all of it arrived, unless HttpCall::allowCloseDelimited is set. A connection
+/// and all of it arrived, unless HttpCall::allowCloseDelimited is set. A head that is
+/// malformed, has folded lines or a status that is none ends the call at once, also while
+/// a long request is still being written. A connection
 /// whose call was cancelled, timed out or failed is closed and never reused. A pooled
 /// connection is closed as soon as the server sends or closes; until then it keeps `io` running.
 ///
--- a/src/shell/response_buffer.h
+++ b/src/shell/response_buffer.h
@@ -9,8 +9,8 @@
 
 /// Receive buffer of responses that tells whether a head has folded lines.
 ///
-/// A line that begins with a space or a tab continues the field before it in HTTP of old. The parser joins it to that field, so a
-/// damaged field such as " Content-Length: 5" is lost without an error and spoils the value of its neighbour.
+/// A line that begins with a space or a tab continues the field before it (obsolete line folding, RFC 9112, 5.2). The parser joins it
+/// to that field, so a damaged field such as " Content-Length: 5" is lost without an error and spoils the value of its neighbour.
 class ResponseBuffer : public boost::beast::flat_buffer {
 public:
     /// @param limit most bytes that may be held
@@ -36,7 +36,7 @@
         return m_hasFoldedLine;
     }
 
-    /// Removes bytes that have been parsed. Read operations of the HTTP library call it.
+    /// Removes bytes that have been parsed. Hides the function of the base, which the read operations of the HTTP library would call.
     void consume(std::size_t count)
     {
         if (m_inHead)
