Tell all instances, also those that start later, of requests that crash servers

Callers saw: a request that crashes each server that runs it was refused at first, but after a rolling restart of four instances it reached servers eight more times. Each crash ended the orders of other callers that the server was running (502, outcome unknown).

Cause: the quarantine lives in the memory of one process, and a crash was announced once, with the next evidence, to at most 32 members. An instance that starts later, was paused or cut off, or missed that message knew nothing, and learned by crashing up to two servers.

Ruled out: a lost fingerprint or a forgotten entry, as instances that were not restarted refuse throughout.

Fix: instances exchange records of the crashes of each request (peer::QuarantineNews). A record is broadcast at the tick after a crash, sent to an instance that has started or was paused with the beliefs that it asks for, and repeated to two random members every second, so that a lost message or a cut delays it only. Records must be merged any number of times and in any order, so a crash is identified by the start of the server that crashed: several requests that end with one crash count once.

Tried first: a message of its own to ask for the records. Asking together with the beliefs needs no message.

Requests are still blocked for ten minutes, sound ones too: the next fault. The test "A request is quarantined after its second crash" now names a server start with each crash, and checks in addition that the same crash counts once.

--- a/fuzz/policy_fuzz.cpp
+++ b/fuzz/policy_fuzz.cpp
@@ -263,15 +263,48 @@
     });
 }
 
+TEST_CASE("Reports of crashes have the same result in any order and any number of times")
+{
+    checkProperty("merged quarantine", [](const std::vector<std::uint8_t>& starts) {
+        const Time now { std::chrono::seconds(100) };
+        const Fingerprint fingerprint { 1 };
+        Quarantine inOrder;
+        Quarantine reversed;
+        std::set<std::uint64_t> distinct;
+        for (const std::uint8_t start : starts) {
+            const std::uint64_t number = start % Quarantine::MAX_CRASHES;
+            distinct.insert(number);
+            inOrder.merge({ fingerprint, { { ServerId { number / 2 }, 1 + number % 2, now } } }, now);
+        }
+        for (auto start = starts.rbegin(); start != starts.rend(); ++start) {
+            const std::uint64_t number = *start % Quarantine::MAX_CRASHES;
+            // A late report.
+            reversed.merge({ fingerprint, { { ServerId { number / 2 }, 1 + number % 2, now + std::chrono::milliseconds(*start) } } }, now);
+            reversed.merge({ fingerprint, { { ServerId { number / 2 }, 1 + number % 2, now } } }, now);
+        }
+        for (const Quarantine* quarantine : { &inOrder, &reversed }) {
+            const QuarantineRecord* record = quarantine->find(fingerprint, now);
+            RC_ASSERT((record ? record->crashes.size() : 0) == distinct.size());
+            RC_ASSERT(quarantine->isBlocked(fingerprint, now) == (distinct.size() >= Quarantine::CRASH_LIMIT));
+        }
+    });
+}
+
 TEST_CASE("A request is quarantined after its second crash of a server, and the quarantine is bounded")
 {
     checkProperty("quarantine", [](const std::vector<std::uint16_t>& steps) {
         Quarantine quarantine;
         std::map<std::uint64_t, int> crashes;
         const Time now { std::chrono::seconds(1) };
+        std::uint64_t incarnation = 0;
         for (const std::uint16_t step : steps) {
             const Fingerprint fingerprint { std::uint64_t { step } % 5 };
-            const bool quarantined = quarantine.recordCrash(fingerprint, now);
+            const ServerCrash crash { ServerId { step }, ++incarnation, now };
+            const bool wasBlocked = quarantine.isBlocked(fingerprint, now);
+            RC_ASSERT(quarantine.recordCrash(fingerprint, crash, now) == (crashes[step % 5] < static_cast<int>(Quarantine::MAX_CRASHES)));
+            // Another request that the same crash ended.
+            RC_ASSERT(!quarantine.recordCrash(fingerprint, crash, now));
+            const bool quarantined = !wasBlocked && quarantine.isBlocked(fingerprint, now);
             RC_ASSERT(quarantined == (++crashes[step % 5] == 2));
             RC_ASSERT(quarantine.isBlocked(fingerprint, now) == (crashes[step % 5] >= 2));
             RC_ASSERT(!quarantine.isBlocked(fingerprint, now + Quarantine::LIFETIME));
@@ -285,6 +318,6 @@
     });
     Quarantine quarantine;
     for (std::uint64_t i = 0; i < 5000; ++i)
-        quarantine.recordCrash(Fingerprint { i }, Time { Duration { static_cast<std::int64_t>(i) } });
+        quarantine.recordCrash(Fingerprint { i }, { ServerId { i }, i, Time { Duration { static_cast<std::int64_t>(i) } } }, Time { Duration { static_cast<std::int64_t>(i) } });
     CHECK(quarantine.size() <= Quarantine::MAX_ENTRIES);
 }
--- a/src/decision/health.cpp
+++ b/src/decision/health.cpp
@@ -36,6 +36,7 @@
     : m_dependencies(dependencies)
     , m_ejector(dependencies.pool, m_detector)
     , m_exchange({ dependencies.pool, dependencies.members, dependencies.gossip, dependencies.losses })
+    , m_quarantine({ dependencies.quarantine, dependencies.members, dependencies.gossip })
     , m_idleReport(dependencies.pool, dependencies.members)
 {
 }
@@ -67,6 +68,7 @@
 {
     if (m_placesByCost)
         m_exchange.onTick(context);
+    m_quarantine.onTick(context);
     if (!m_sheet || context.now() < m_nextEvaluation)
         return;
     m_nextEvaluation = context.now() + EVIDENCE_INTERVAL;
@@ -135,8 +137,11 @@
         out.set_remaining_ms(static_cast<std::uint32_t>(std::chrono::duration_cast<Millis>(ejection.remaining).count()));
         out.set_relapses(ejection.ejectionCount);
     }
-    for (const Fingerprint fingerprint : m_crashesToAnnounce)
-        evidence.add_crashes()->set_fingerprint(fingerprint.value());
+    for (const Fingerprint fingerprint : m_crashesToAnnounce) {
+        peer::CrashRow& row = *evidence.add_crashes();
+        row.set_fingerprint(fingerprint.value());
+        row.set_in_news(true);
+    }
     m_crashesToAnnounce.clear();
     for (const LeavingServer& leaving : m_ejector.leavingToAnnounce(context.now())) {
         evidence.add_leaving(leaving.server.value());
@@ -156,8 +161,10 @@
     for (const peer::EjectionRow& row : evidence.ejections())
         ejections.push_back({ ServerId { row.server() }, Millis { row.remaining_ms() }, row.relapses() });
     m_ejector.onPeerEjections(source, std::move(ejections), context.now());
-    for (const peer::CrashRow& row : evidence.crashes())
-        recordCrash(Fingerprint { row.fingerprint() }, context);
+    for (const peer::CrashRow& row : evidence.crashes()) {
+        if (!row.in_news())
+            m_quarantine.onUnattributedCrash(Fingerprint { row.fingerprint() }, sender, evidence.sequence(), context);
+    }
     for (int i = 0; i < evidence.leaving_size(); ++i) {
         const Server* server = m_dependencies.pool.find(ServerId { evidence.leaving(i) });
         // A server that has started again since is not leaving.
@@ -167,19 +174,16 @@
     }
 }
 
-void Health::onCrash(Fingerprint fingerprint, Context& context)
+void Health::onCrash(Fingerprint fingerprint, const ServerCrash& crash, Context& context)
 {
-    recordCrash(fingerprint, context);
-    if (m_crashesToAnnounce.size() < MAX_QUEUED_CRASHES)
+    if (m_quarantine.onCrash(fingerprint, crash, context) && m_crashesToAnnounce.size() < MAX_QUEUED_CRASHES)
         m_crashesToAnnounce.push_back(fingerprint);
 }
 
-void Health::recordCrash(Fingerprint fingerprint, Context& context)
+void Health::onBeliefsRequest(const MemberRecord& sender, Context& context)
 {
-    if (!m_dependencies.quarantine.recordCrash(fingerprint, context.now()))
-        return;
-    context.report(DecisionKind::Quarantined, std::to_string(fingerprint.value()), "backend servers crashed while running this request",
-        "at most " + std::to_string(Quarantine::CRASH_LIMIT) + " crashes", Quarantine::LIFETIME);
+    m_exchange.onBeliefsRequest(sender, context);
+    m_quarantine.sendBlocked(sender, context);
 }
 
 void Health::onServersListed(const ServersListed& event, Context& context)
--- a/src/decision/health.h
+++ b/src/decision/health.h
@@ -9,6 +9,7 @@
 #include "gossip.h"
 #include "idle_report.h"
 #include "member_table.h"
+#include "quarantine_exchange.h"
 #include "send_observer.h"
 
 #include <memory>
@@ -43,6 +44,10 @@
     void adopt(SheetPtr sheet);
     /// @return the exchange of observations about servers whose requests are placed by expected cost
     BeliefExchange& exchange() { return m_exchange; }
+    /// Sends a peer that has started or was paused what it missed.
+    void onBeliefsRequest(const MemberRecord& sender, Context& context);
+    /// @return the exchange of requests that crash servers
+    QuarantineExchange& quarantine() { return m_quarantine; }
     /// Evaluates the evidence, ejects and returns servers, and sends evidence and probes that are due.
     void onTick(Context& context);
     /// Adds the evidence of a peer. Stale and repeated messages are ignored.
@@ -56,7 +61,7 @@
     /// Records that a backend server crashed while it ran a request, and reports it to the peers.
     ///
     /// @param fingerprint fingerprint of that request
-    void onCrash(Fingerprint fingerprint, Context& context);
+    void onCrash(Fingerprint fingerprint, const ServerCrash& crash, Context& context);
 
     void trySent(TryId id, ServerId server, Time now) override;
     void tryEnded(TryId id, SendEvidence evidence, Time now) override;
@@ -75,7 +80,6 @@
     void sendEvidence(const Digest& digest, Context& context);
     std::shared_ptr<peer::Envelope> makeEvidence(const Digest& digest, Context& context);
     void probeLowTrafficServers(Context& context);
-    void recordCrash(Fingerprint fingerprint, Context& context);
     /// Divides the slots again if the number of servers in service has changed.
     void redistributeSlotsIfChanged();
 
@@ -83,9 +87,10 @@
     Detector m_detector;
     Ejector m_ejector;
     BeliefExchange m_exchange;
+    QuarantineExchange m_quarantine;
     IdleReport m_idleReport;
     SheetPtr m_sheet;
-    /// Crashes to be sent with the next evidence.
+    /// Crashes to be sent with the next evidence, for members that do not know `peer::QuarantineNews`.
     std::vector<Fingerprint> m_crashesToAnnounce;
     Time m_nextEvaluation;
     Time m_nextProbe;
--- a/src/decision/reducer_state.cpp
+++ b/src/decision/reducer_state.cpp
@@ -49,7 +49,7 @@
     , m_quotas({ m_members, m_gossip }, { settings.quotaOver, settings.quotaSlack, settings.quotaWindow })
     , m_flow({ m_pool, m_losses, m_keys, m_quarantine, m_health, m_members, m_gossip.confirmation(), m_quotas,
           [this](ServerId server, std::uint64_t incarnation, const ServerNotice& notice, Context& context) { m_notices.onNotice(server, incarnation, notice, context); },
-          [this](Fingerprint fingerprint, Context& context) { m_health.onCrash(fingerprint, context); } })
+          [this](Fingerprint fingerprint, const ServerCrash& crash, Context& context) { m_health.onCrash(fingerprint, crash, context); } })
     , m_serverLimits({ m_pool, m_members, m_gossip })
     , m_notices({ m_pool, m_serverLimits, [this](ServerId server, Context& context) { m_health.onLeaving(server, context); } })
     , m_drain({ m_gossip, m_members, m_keys, m_flow }, settings.shutdownTimeout, settings.stopNotice)
@@ -134,9 +134,11 @@
     else if (message.has_loads())
         m_health.exchange().onLoads(message.loads(), *sender, context);
     else if (message.has_beliefs_request())
-        m_health.exchange().onBeliefsRequest(*sender, context);
+        m_health.onBeliefsRequest(*sender, context);
     else if (message.has_beliefs_reply())
         m_health.exchange().onBeliefsReply(message.beliefs_reply(), *sender, context);
+    else if (message.has_quarantine_news())
+        m_health.quarantine().onNews(message, *sender, context);
     else if (message.has_limit_news())
         m_serverLimits.onLimitNews(message.limit_news(), *sender, context);
     else if (message.has_grant_request())
--- a/src/decision/request_flow.h
+++ b/src/decision/request_flow.h
@@ -47,7 +47,7 @@
         /// Called with what the response of one incarnation of a backend server says of it.
         std::function<void(ServerId, std::uint64_t incarnation, const ServerNotice&, Context&)> onNotice;
         /// Called when a backend server closed the connection of a request without a response.
-        std::function<void(Fingerprint, Context&)> onServerCrash;
+        std::function<void(Fingerprint, const ServerCrash&, Context&)> onServerCrash;
     };
 
     explicit RequestFlow(Dependencies dependencies);
--- a/src/decision/request_flow_sends.cpp
+++ b/src/decision/request_flow_sends.cpp
@@ -295,7 +295,7 @@
     m_dependencies.sendObserver.tryEnded(ended.id, suspect || stale ? SendEvidence::None : SendEvidence::Failure, context.now());
     if (placedByCost(request))
         observe(request, ended, Observation::Broken, context);
-    m_dependencies.onServerCrash(request.fingerprint, context);
+    m_dependencies.onServerCrash(request.fingerprint, { ended.server, ended.incarnation, context.now() }, context);
     if (request.activeCount || retry(request, context))
         return;
     const bool blocked = m_dependencies.quarantine.isBlocked(request.fingerprint, context.now());
