Refute crashes only after the list of recent ones has been searched; keep trials of both identities apart

recordReached merged records while it erased from the list that a merge may add to, which happens if the record was replaced meanwhile. Found by reading; policy_fuzz now has that order of events (not seen failing). A trial of a fingerprint that members of an earlier version had blocked lent its number to the record of this version, which then took an older crash for the result of its own first trial.

--- a/fuzz/policy_fuzz.cpp
+++ b/fuzz/policy_fuzz.cpp
@@ -337,4 +337,9 @@
     for (std::uint64_t i = 0; i < 5000; ++i)
         quarantine.recordCrash(Fingerprint { i }, { ServerId { i }, i, Time { Duration { static_cast<std::int64_t>(i) } } }, Time { Duration { static_cast<std::int64_t>(i) } });
     CHECK(quarantine.size() <= Quarantine::MAX_ENTRIES);
+    // Servers that live on clear their crashes, also those of records that others have replaced.
+    const Time later { std::chrono::milliseconds(60) };
+    for (std::uint64_t i = 0; i < 5000; ++i)
+        quarantine.recordReached(ServerId { i }, i, later, later);
+    CHECK(quarantine.size() <= Quarantine::MAX_ENTRIES);
 }
--- a/include/cornelwind/quarantine.h
+++ b/include/cornelwind/quarantine.h
@@ -62,8 +62,8 @@
 /// Blocks requests that crash the backend servers that run them.
 ///
 /// Evidence that a request crashes servers: a connection that ends after the request was
-/// written and before any byte of a response. All requests that one crash ends count it
-/// once each. Evidence against it: the answer of a server voids all crashes before it, and
+/// written and before any byte of a response. One crash counts once for each request that
+/// it ends. Evidence against it: the answer of a server voids all crashes before it, and
 /// those within `ANSWER_PERIOD` after it. A crash does not count either if the same
 /// incarnation of the server is reached again within `REFUTATION_PERIOD`.
 ///
@@ -91,8 +91,9 @@
     static constexpr Duration END_TIME = std::chrono::milliseconds(50);
     /// A server without incarnations is not expected to crash again within this time. Reports of one crash arrive within it.
     static constexpr Duration MIN_TIME_BETWEEN_CRASHES = std::chrono::seconds(5);
-    /// Time from the last crash to the next trial, by the number of trials before.
+    /// Time from the last crash to the next trial, by the number of failed trials.
     static constexpr Duration HOLD_TIMES[] = { std::chrono::seconds(30), std::chrono::minutes(10), std::chrono::hours(1) };
+    /// Longer than messages between instances are delayed.
     static constexpr Duration TIME_TOLERANCE = std::chrono::seconds(5);
     /// A trial without a result after this time is repeated.
     static constexpr Duration TRIAL_TIME = std::chrono::seconds(5);
--- a/src/decision/quarantine.cpp
+++ b/src/decision/quarantine.cpp
@@ -118,7 +118,7 @@
         record.crashes.erase(earliest);
     }
     record.crashes.push_back(crash);
-    if (crash.at + REFUTATION_PERIOD > now && m_recentCrashes.size() < MAX_RECENT_CRASHES)
+    if (!crash.refuted && crash.at + REFUTATION_PERIOD > now && m_recentCrashes.size() < MAX_RECENT_CRASHES)
         m_recentCrashes.push_back({ record.fingerprint, crash });
     return true;
 }
@@ -136,18 +136,20 @@
 
 std::vector<Fingerprint> Quarantine::recordReached(ServerId server, std::uint64_t incarnation, Time sentAt, Time now)
 {
-    std::vector<Fingerprint> changed;
+    std::vector<QuarantineRecord> refuted;
     std::erase_if(m_recentCrashes, [&](const RecentCrash& recent) {
         const ServerCrash& crash = recent.crash;
-        if (crash.server == server && crash.incarnation == incarnation && sentAt >= crash.at + END_TIME && sentAt < crash.at + REFUTATION_PERIOD) {
-            ServerCrash refuted = crash;
-            refuted.refuted = true;
-            if (merge({ recent.fingerprint, { refuted } }, now))
-                changed.push_back(recent.fingerprint);
-            return true;
-        }
-        return now - crash.at > REFUTATION_MEMORY;
+        if (crash.server != server || crash.incarnation != incarnation || sentAt < crash.at + END_TIME || sentAt >= crash.at + REFUTATION_PERIOD)
+            return now - crash.at > REFUTATION_MEMORY;
+        refuted.push_back({ recent.fingerprint, { crash } });
+        refuted.back().crashes.front().refuted = true;
+        return true;
     });
+    std::vector<Fingerprint> changed;
+    for (const QuarantineRecord& record : refuted) {
+        if (merge(record, now))
+            changed.push_back(record.fingerprint);
+    }
     return changed;
 }
 
--- a/src/decision/request_flow_sends.cpp
+++ b/src/decision/request_flow_sends.cpp
@@ -208,11 +208,13 @@
     dispatchQueue(*service, context);
 }
 
+// The fingerprint alone has a record if members of an earlier version reported crashes. Crashes seen here do not count for it.
 std::uint32_t RequestFlow::beginQuarantineTrial(const Request& request, Context& context)
 {
     const std::uint32_t trial = m_dependencies.quarantineExchange.onSend(request.quarantineId, context);
-    const std::uint32_t trialOfFingerprint = m_dependencies.quarantineExchange.onSend(request.fingerprint, context);
-    return std::max(trial, trialOfFingerprint);
+    if (request.fingerprint != request.quarantineId)
+        m_dependencies.quarantineExchange.onSend(request.fingerprint, context);
+    return trial;
 }
 
 // A lost connection that was in use before may have been closed as idle before the request arrived.
--- a/tests/quarantine_test.cpp
+++ b/tests/quarantine_test.cpp
@@ -1,5 +1,6 @@
 // Plays days of a fleet whose backend servers crash, in simulated time: by requests that crash every server that runs them, and for
 // other reasons.
+#include "cornelwind/quarantine.h"
 #include "support/crash_fleet.h"
 
 #include <catch2/catch.hpp>
@@ -351,3 +352,16 @@
     CHECK(fleet.record(PAGE).crashes.size() > first);
     CHECK(fleet.record(PAGE).crashes.size() <= first + MAX_RETRIES);
 }
+
+// The fingerprint does not contain host and workspace, so a request was blocked for the crashes of another one.
+TEST_CASE("Requests of another host or workspace are others")
+{
+    const Fingerprint fingerprint { 7 };
+    const WorkspaceName none;
+    CHECK(quarantineIdOf(fingerprint, "", none) == fingerprint);
+    CHECK(quarantineIdOf(fingerprint, "a", none) != quarantineIdOf(fingerprint, "b", none));
+    CHECK(quarantineIdOf(fingerprint, "a", none) != quarantineIdOf(Fingerprint { 8 }, "a", none));
+    CHECK(quarantineIdOf(fingerprint, "a", WorkspaceName { "w" }) != quarantineIdOf(fingerprint, "a", none));
+    CHECK(quarantineIdOf(fingerprint, "a", WorkspaceName { "w" }) != quarantineIdOf(fingerprint, "", WorkspaceName { "aw" }));
+    CHECK(quarantineIdOf(fingerprint, "a", WorkspaceName { "w" }) == quarantineIdOf(fingerprint, "a", WorkspaceName { "w" }));
+}
