Count and log the trials and the ends of quarantines

Operators saw: neither a log line nor a count when a quarantined request was let through or its block ended. In its place the log had an error of the event loop.

Cause: the two new kinds of decisions were added without raising DECISION_KINDS, so the counters had no place for them, and the exception of the access dropped the log line that follows.

Fix: the right number, and a static_assert that compares it with the names.

--- a/include/cornelwind/decision.h
+++ b/include/cornelwind/decision.h
@@ -77,7 +77,7 @@
 };
 
 /// Number of values of `DecisionKind`.
-inline constexpr std::size_t DECISION_KINDS = 30;
+inline constexpr std::size_t DECISION_KINDS = 32;
 
 /// @return the name used in logs, metrics and explanations
 const char* toString(DecisionKind);
--- a/src/decision/decision.cpp
+++ b/src/decision/decision.cpp
@@ -15,6 +15,7 @@
         "quota-taken-over", "quota-used-up", "quota-available", "store-restored",
         "quarantine-trial", "quarantine-ended"
     };
+    static_assert(KIND_NAMES.size() == DECISION_KINDS);
 
 } // namespace
 
--- a/tests/gray_test.cpp
+++ b/tests/gray_test.cpp
@@ -3,6 +3,7 @@
 
 #include <catch2/catch.hpp>
 
+#include <algorithm>
 #include <atomic>
 #include <string>
 #include <thread>
@@ -147,6 +148,44 @@
     CHECK(countServing(fleet) == 5);
 }
 
+// Trials were neither logged nor counted, since the counters had no place for the decision.
+TEST_CASE("One instance lets a quarantined request through as a trial, and logs and counts it")
+{
+    Fleet fleet;
+    startFiveServers(fleet);
+    const auto sendToAll = [&] {
+        for (const std::string& name : INSTANCE_NAMES)
+            call(fleet.callerAddress(name), "GET", "/catalogue/crash-me");
+    };
+    // The retry of the first request crashes the second server; then all instances learn of it.
+    call(fleet.callerAddress("a"), "GET", "/catalogue/crash-me");
+    const auto isBlockedEverywhere = [&] {
+        return std::all_of(INSTANCE_NAMES.begin(), INSTANCE_NAMES.end(), [&](const std::string& name) {
+            const auto explained = call(fleet.adminAddress(name), "GET", "/explain");
+            return explained && explained->body.find("\"quarantined\"") != std::string::npos;
+        });
+    };
+    REQUIRE(waitFor(isBlockedEverywhere));
+    sendToAll();
+    CHECK(fleet.countRuns("crash-me") == 2);
+    const auto trialSeen = [&] {
+        sendToAll();
+        return fleet.countRuns("crash-me") > 2;
+    };
+    CHECK(waitFor(trialSeen, 60000));
+    std::size_t trials = 0;
+    for (const std::string& name : INSTANCE_NAMES) {
+        CAPTURE(name);
+        const auto response = call(fleet.callerAddress(name), "GET", "/catalogue/x");
+        REQUIRE(response);
+        CHECK(response->status() == 200);
+        const auto metrics = call(fleet.adminAddress(name), "GET", "/metrics");
+        REQUIRE(metrics);
+        trials += metrics->body.find("cornelwind_decisions_total{kind=\"quarantine-trial\"} 1") != std::string::npos;
+    }
+    CHECK(trials == 1);
+}
+
 TEST_CASE("A one-way network failure between an instance and a server makes only that instance avoid the server")
 {
     // Instance a reads its sheet from a second platform. In that sheet cat-1 has the address of a relay.
