Do not take the crash of a server that is back at once for a lost connection

Callers would see: a request that crashes servers got through without end where servers were back within a second, as their supervisors may start them.

Cause: a crash did not count if the same start of the server was reached again within a second. Without incarnations, as in the product's own sheet, a new start looks like the one before. With incarnations, the first responses of a new start can arrive before the news of it.

Fix: nothing refutes a crash of a server without incarnations. With them, a crash is refuted only after the second has passed, if the same start is still the latest known then. Crashes of a server without incarnations count apart from 1 s on, not 5 s, or a single server could be crashed ten times in that time.

--- a/benchmark/quarantine_benchmark.cpp
+++ b/benchmark/quarantine_benchmark.cpp
@@ -96,7 +96,7 @@
     for (std::uint64_t i = 0; i < requests; ++i) {
         const Fingerprint fingerprint { i * 0x9e3779b97f4a7c15 };
         free += quarantine.state(fingerprint, now) == QuarantineState::Free;
-        quarantine.recordReached(ServerId { i % 8 }, 1, now, now);
+        quarantine.recordReached(ServerId { i % 8 }, 1, now);
         quarantine.recordAnswer(fingerprint, now);
     }
     const std::chrono::duration<double, std::micro> spent = std::chrono::steady_clock::now() - begin;
--- a/fuzz/policy_fuzz.cpp
+++ b/fuzz/policy_fuzz.cpp
@@ -340,6 +340,8 @@
     // Servers that live on clear their crashes, also those of records that others have replaced.
     const Time later { std::chrono::milliseconds(60) };
     for (std::uint64_t i = 0; i < 5000; ++i)
-        quarantine.recordReached(ServerId { i }, i, later, later);
+        quarantine.recordReached(ServerId { i }, i, later);
+    for (const QuarantineRecord& record : quarantine.takeReached(Time { Quarantine::REFUTATION_PERIOD } + std::chrono::milliseconds(5)))
+        quarantine.merge(record, later);
     CHECK(quarantine.size() <= Quarantine::MAX_ENTRIES);
 }
--- a/include/cornelwind/quarantine.h
+++ b/include/cornelwind/quarantine.h
@@ -65,7 +65,8 @@
 /// written and before any byte of a response. One crash counts once for each request that
 /// it ends. Evidence against it: the answer of a server voids all crashes before it, and
 /// those within `ANSWER_PERIOD` after it. A crash does not count either if the same
-/// incarnation of the server is reached again within `REFUTATION_PERIOD`.
+/// incarnation of the server is reached again within `REFUTATION_PERIOD`. A server without
+/// incarnations may have started again meanwhile, so nothing refutes its crashes.
 ///
 /// A fingerprint is blocked once `CRASH_LIMIT` crashes count. After `HOLD_TIMES[0]` one
 /// request of the whole fleet is let through as a trial. If it is answered, the block ends; if it crashes a
@@ -89,8 +90,8 @@
     static constexpr Duration REFUTATION_PERIOD = std::chrono::seconds(1);
     /// A server that is ending may still accept a connection for so long.
     static constexpr Duration END_TIME = std::chrono::milliseconds(50);
-    /// A server without incarnations is not expected to crash again within this time. Reports of one crash arrive within it.
-    static constexpr Duration MIN_TIME_BETWEEN_CRASHES = std::chrono::seconds(5);
+    /// Crashes of a server without incarnations count as one if less time lies between them. Reports of one crash arrive within it.
+    static constexpr Duration MIN_TIME_BETWEEN_CRASHES = std::chrono::seconds(1);
     /// Time from the last crash to the next trial, by the number of failed trials.
     static constexpr Duration HOLD_TIMES[] = { std::chrono::seconds(30), std::chrono::minutes(10), std::chrono::hours(1) };
     /// Longer than messages between instances are delayed.
@@ -118,8 +119,11 @@
     bool recordAnswer(Fingerprint fingerprint, Time now);
     /// Records that a request reached a backend server, whatever became of it.
     ///
-    /// @return fingerprints of which a crash no longer counts because of that
-    std::vector<Fingerprint> recordReached(ServerId server, std::uint64_t incarnation, Time sentAt, Time now);
+    /// @param incarnation 0 if the server states none
+    void recordReached(ServerId server, std::uint64_t incarnation, Time sentAt);
+    /// @return crashes whose server was reached again within `REFUTATION_PERIOD`, each once and after that time. They are refuted
+    ///     unless the server is known to have started again since.
+    std::vector<QuarantineRecord> takeReached(Time now);
     /// Records that a request was refused.
     void recordRefusal(Fingerprint fingerprint, Time now);
     /// Adds what a peer knows.
@@ -153,6 +157,7 @@
     struct RecentCrash {
         Fingerprint fingerprint;
         ServerCrash crash;
+        bool wasReached = false;
     };
 
     static bool isBlocked(const QuarantineRecord& record) { return countCrashes(record) >= CRASH_LIMIT; }
--- a/src/decision/health.cpp
+++ b/src/decision/health.cpp
@@ -36,7 +36,7 @@
     : m_dependencies(dependencies)
     , m_ejector(dependencies.pool, m_detector)
     , m_exchange({ dependencies.pool, dependencies.members, dependencies.gossip, dependencies.losses })
-    , m_quarantine({ dependencies.quarantine, dependencies.members, dependencies.gossip })
+    , m_quarantine({ dependencies.quarantine, dependencies.pool, dependencies.members, dependencies.gossip })
     , m_idleReport(dependencies.pool, dependencies.members)
 {
 }
--- a/src/decision/quarantine.cpp
+++ b/src/decision/quarantine.cpp
@@ -119,7 +119,7 @@
     }
     record.crashes.push_back(crash);
     if (!crash.refuted && crash.at + REFUTATION_PERIOD > now && m_recentCrashes.size() < MAX_RECENT_CRASHES)
-        m_recentCrashes.push_back({ record.fingerprint, crash });
+        m_recentCrashes.push_back({ record.fingerprint, crash, false });
     return true;
 }
 
@@ -134,23 +134,25 @@
     return wasSuspect;
 }
 
-std::vector<Fingerprint> Quarantine::recordReached(ServerId server, std::uint64_t incarnation, Time sentAt, Time now)
+void Quarantine::recordReached(ServerId server, std::uint64_t incarnation, Time sentAt)
 {
-    std::vector<QuarantineRecord> refuted;
-    std::erase_if(m_recentCrashes, [&](const RecentCrash& recent) {
+    for (RecentCrash& recent : m_recentCrashes) {
         const ServerCrash& crash = recent.crash;
-        if (crash.server != server || crash.incarnation != incarnation || sentAt < crash.at + END_TIME || sentAt >= crash.at + REFUTATION_PERIOD)
-            return now - crash.at > REFUTATION_MEMORY;
-        refuted.push_back({ recent.fingerprint, { crash } });
-        refuted.back().crashes.front().refuted = true;
+        const bool isSameStart = incarnation && crash.server == server && crash.incarnation == incarnation;
+        recent.wasReached = recent.wasReached || (isSameStart && sentAt >= crash.at + END_TIME && sentAt < crash.at + REFUTATION_PERIOD);
+    }
+}
+
+std::vector<QuarantineRecord> Quarantine::takeReached(Time now)
+{
+    std::vector<QuarantineRecord> reached;
+    std::erase_if(m_recentCrashes, [&](const RecentCrash& recent) {
+        if (!recent.wasReached || now < recent.crash.at + REFUTATION_PERIOD)
+            return now - recent.crash.at > REFUTATION_MEMORY;
+        reached.push_back({ recent.fingerprint, { recent.crash } });
         return true;
     });
-    std::vector<Fingerprint> changed;
-    for (const QuarantineRecord& record : refuted) {
-        if (merge(record, now))
-            changed.push_back(record.fingerprint);
-    }
-    return changed;
+    return reached;
 }
 
 void Quarantine::recordRefusal(Fingerprint fingerprint, Time now)
--- a/src/decision/quarantine_exchange.cpp
+++ b/src/decision/quarantine_exchange.cpp
@@ -65,10 +65,25 @@
     m_broadcast.expire(context.now());
     if (m_dependencies.quarantine.size())
         m_dependencies.quarantine.setPosition(m_dependencies.members.rank(), 1 + m_dependencies.members.liveCount());
+    refuteCrashes(context);
     sendChanges(context);
     repair(context);
 }
 
+// The first responses of a new start may arrive before the news of it.
+void QuarantineExchange::refuteCrashes(Context& context)
+{
+    for (QuarantineRecord& reached : m_dependencies.quarantine.takeReached(context.now())) {
+        ServerCrash& crash = reached.crashes.front();
+        const Server* server = m_dependencies.pool.find(crash.server);
+        if (!server || server->config.incarnation != crash.incarnation)
+            continue;
+        crash.refuted = true;
+        if (merge(reached, "its server was reached again soon after", context))
+            m_unsent.insert(reached.fingerprint);
+    }
+}
+
 void QuarantineExchange::sendChanges(Context& context)
 {
     if (m_unsent.empty())
@@ -106,12 +121,6 @@
         publishChange(fingerprint, wasBlocked, "a server answered this request", context);
 }
 
-void QuarantineExchange::onReached(ServerId server, std::uint64_t incarnation, Time sentAt, Context& context)
-{
-    for (const Fingerprint fingerprint : m_dependencies.quarantine.recordReached(server, incarnation, sentAt, context.now()))
-        publishChange(fingerprint, false, {}, context);
-}
-
 std::uint32_t QuarantineExchange::onSend(Fingerprint fingerprint, Context& context)
 {
     const std::uint32_t trial = m_dependencies.quarantine.beginTrial(fingerprint, context.now());
@@ -124,7 +133,7 @@
 
 bool QuarantineExchange::onCrash(Fingerprint fingerprint, const ServerCrash& crash, Context& context)
 {
-    const bool changed = merge({ fingerprint, { crash } }, "this instance", context);
+    const bool changed = merge({ fingerprint, { crash } }, "reported by this instance", context);
     if (changed)
         m_unsent.insert(fingerprint);
     return changed;
@@ -134,7 +143,7 @@
 void QuarantineExchange::onUnattributedCrash(Fingerprint fingerprint, const MemberRecord& sender, std::uint64_t message, Context& context)
 {
     const ServerCrash crash { serverIdOf(ServerName { sender.name.value() }), sender.incarnation.value() + message, context.now() };
-    merge({ fingerprint, { crash } }, "instance " + sender.name.value(), context);
+    merge({ fingerprint, { crash } }, "reported by instance " + sender.name.value(), context);
 }
 
 void QuarantineExchange::onNews(const peer::Envelope& message, const MemberRecord& sender, Context& context)
@@ -144,7 +153,7 @@
     auto reply = std::make_shared<peer::Envelope>();
     for (const peer::QuarantineRow& row : message.quarantine_news().rows()) {
         const QuarantineRecord received = readRecord(row, context.now());
-        merge(received, "instance " + sender.name.value(), context);
+        merge(received, "reported by instance " + sender.name.value(), context);
         const QuarantineRecord* known = m_dependencies.quarantine.find(received.fingerprint, context.now());
         if (known && Quarantine::countCrashes(received) && !Quarantine::countCrashes(*known))
             writeRecord(*known, context.now(), *reply->mutable_quarantine_news());
@@ -162,11 +171,11 @@
         m_dependencies.gossip.send(to, std::move(message), context);
 }
 
-bool QuarantineExchange::merge(const QuarantineRecord& record, const std::string& source, Context& context)
+bool QuarantineExchange::merge(const QuarantineRecord& record, const std::string& evidence, Context& context)
 {
     const bool wasBlocked = isBlocked(record.fingerprint, context.now());
     const bool changed = m_dependencies.quarantine.merge(record, context.now());
-    reportChange(record.fingerprint, wasBlocked, "reported by " + source, context);
+    reportChange(record.fingerprint, wasBlocked, evidence, context);
     return changed;
 }
 
--- a/src/decision/quarantine_exchange.h
+++ b/src/decision/quarantine_exchange.h
@@ -2,6 +2,7 @@
 
 #include "context.h"
 #include "cornelwind/quarantine.h"
+#include "cornelwind/server_pool.h"
 #include "gossip.h"
 #include "member_table.h"
 #include "zone_broadcast.h"
@@ -35,6 +36,7 @@
 
     struct Dependencies {
         Quarantine& quarantine;
+        const ServerPool& pool;
         MemberTable& members;
         Gossip& gossip;
     };
@@ -46,7 +48,7 @@
     /// Records that a backend server ran a request and answered it.
     void onAnswer(Fingerprint fingerprint, Context& context);
     /// Records that a request reached a backend server, whatever became of it.
-    void onReached(ServerId server, std::uint64_t incarnation, Time sentAt, Context& context);
+    void onReached(ServerId server, std::uint64_t incarnation, Time sentAt) { m_dependencies.quarantine.recordReached(server, incarnation, sentAt); }
     /// Begins a trial with a request that is being sent, if one is due.
     ///
     /// @return number of the trial; 0 if none is due
@@ -65,9 +67,10 @@
     void sendBlocked(const MemberRecord& to, Context& context);
 
 private:
+    void refuteCrashes(Context& context);
     void sendChanges(Context& context);
     void repair(Context& context);
-    bool merge(const QuarantineRecord& record, const std::string& source, Context& context);
+    bool merge(const QuarantineRecord& record, const std::string& evidence, Context& context);
     /// Reports that a block has begun or ended, and sends the record to all members.
     void publishChange(Fingerprint fingerprint, bool wasBlocked, const std::string& evidence, Context& context);
     void reportChange(Fingerprint fingerprint, bool wasBlocked, const std::string& evidence, Context& context) const;
--- a/src/decision/request_flow_sends.cpp
+++ b/src/decision/request_flow_sends.cpp
@@ -223,7 +223,7 @@
     if (event.misdirected || !(event.response || event.result == TryResult::Crashed))
         return;
     QuarantineExchange& quarantine = m_dependencies.quarantineExchange;
-    quarantine.onReached(ended.server, ended.incarnation, ended.sentAt, context);
+    quarantine.onReached(ended.server, ended.incarnation, ended.sentAt);
     // A server that fails or refuses a request may not have begun to run it.
     const bool hasRun = event.result == TryResult::Answered && !isServerError(*event.response) && !isRefusalStatus(event.response->status);
     if (!hasRun)
--- a/tests/quarantine_test.cpp
+++ b/tests/quarantine_test.cpp
@@ -353,6 +353,31 @@
     CHECK(fleet.record(PAGE).crashes.size() <= first + MAX_RETRIES);
 }
 
+// Servers without incarnations that were back at once looked as if they had never crashed, so their crashes did not count.
+TEST_CASE("A request that crashes servers which are back at once is kept out")
+{
+    const std::size_t servers = GENERATE(1, 2, SERVERS);
+    const bool hasIncarnations = GENERATE(false, true);
+    const Millis downTime = GENERATE(Millis { 20 }, Millis { 100 }, Millis { 700 });
+    for (const CrashingRow& crashing : CRASHING) {
+        CrashFleetOptions options = optionsOf(4, 1);
+        options.servers = servers;
+        options.hasIncarnations = hasIncarnations;
+        options.downTime = downTime;
+        CrashFleet fleet(options);
+        fleet.setCrashes("h", crashing.target, true);
+        Load load(fleet);
+        load.run(std::chrono::seconds(2));
+        load.run(std::chrono::seconds(50), [&](int step) {
+            if (step % stepAt(crashing.gap) == 0)
+                fleet.send(static_cast<std::size_t>(step / stepAt(crashing.gap)) % 4, crashing.target);
+        });
+        const TargetRecord& record = fleet.record(crashing.target);
+        CAPTURE(servers, hasIncarnations, downTime.count(), crashing.target, crashing.gap, record.crashes.size());
+        CHECK(countLateRetries(record) <= MAX_RETRIES);
+    }
+}
+
 // The fingerprint does not contain host and workspace, so a request was blocked for the crashes of another one.
 TEST_CASE("Requests of another host or workspace are others")
 {
--- a/tests/support/crash_fleet.cpp
+++ b/tests/support/crash_fleet.cpp
@@ -197,7 +197,7 @@
             server.zone = ZoneName { "z" + std::to_string(m_servers[i].zone) };
             server.slots = Slots { m_options.slots };
             server.connections = 1000;
-            server.incarnation = m_servers[i].incarnation;
+            server.incarnation = m_options.hasIncarnations ? m_servers[i].incarnation : 0;
             service.servers.push_back(std::move(server));
         }
         sheet.services.push_back(std::move(service));
--- a/tests/support/crash_fleet.h
+++ b/tests/support/crash_fleet.h
@@ -21,6 +21,8 @@
     Duration workTime = std::chrono::milliseconds(300);
     /// Time from the crash of a server to its next start.
     Duration downTime = std::chrono::milliseconds(1500);
+    /// Whether the sheet states incarnations of servers. If not, a server that starts again looks like before.
+    bool hasIncarnations = true;
     std::uint64_t seed = 1;
 };
 
